--- /dev/null
+++ b/martenrouter/rules.py
@@ -0,0 +1,563 @@
+"""All decisions of martenrouter: which engine reads a req, which one writes it, and what is done when that fails.
+
+How it is called: `Front(seed, settings)` is one router instance; it shares nothing with others. Once a round the
+caller runs `turn(now, inbox, out)`: `inbox` holds (call, arguments) pairs in order of arrival, the calls being the
+public handlers below (`listed`, `arrived`, `first_token`, `outcome`, `place`, `gone`, `timer`, `probed`, `message`),
+and `out` is the writer that takes decisions at once (`forward`, `push_back`, `abort`, `cancel`, `let_go`, `wake`,
+`subscribe`, `fetch_list`, ...). Times are whole microseconds, ids are passed back as they came, and `settings` is a
+plain map of names to values, of which unknown names are passed over. The interface stands in martenrouter/drill.
+
+Life of a req: unread -> reading -> read (its state waits at the reader) -> writing -> started -> ended.
+"""
+from math import exp
+from statistics import median
+from zlib import crc32
+
+UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
+NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
+
+
+class Sum:
+    """A sum that halves every `half` microseconds, brought up to date when read."""
+    __slots__ = ("half", "value", "at")
+
+    def __init__(self, half):
+        self.half, self.value, self.at = half, 0.0, 0
+
+    def read(self, now):
+        if now > self.at:
+            self.value *= 0.5 ** ((now - self.at) / self.half)
+            self.at = now
+        return self.value
+
+    def add(self, now, amount):
+        self.value = self.read(now) + amount
+
+
+class Pace:
+    """What a pool of engines needs for a piece of work, from all that this front saw of the pool."""
+    BASE = 1000  # tokens that stand for the fixed part of each piece: about one step of an engine
+
+    def __init__(self):
+        # remembered for 10 s: long against one answer, short against the troubles worth following
+        self.spent, self.work = Sum(10_000_000), Sum(10_000_000)
+
+    def add(self, now, spent, tokens):
+        self.spent.add(now, spent)
+        self.work.add(now, tokens + self.BASE)
+
+    def expect(self, now, tokens):
+        # 60 us a token until something was seen: the order of magnitude of a large model on one machine
+        rate = (self.spent.read(now) + 60 * 2000) / (self.work.read(now) + 2000)
+        return rate * (tokens + self.BASE)
+
+
+class Forward:
+    __slots__ = ("req", "n", "engine", "sent", "tokens", "expected", "reads", "link", "started", "cancelled")
+
+
+class Req:
+    __slots__ = ("id", "group", "customer", "home", "prefix", "session", "prompt", "shared", "arrived", "target",
+                 "deadline", "answer", "stage", "reader", "clock", "used", "out", "effect", "rank", "held", "banned")
+
+
+class Engine:
+    """One engine as this front knows it."""
+
+    def __init__(self, id):
+        self.id, self.up, self.role, self.memory = id, False, "", 0
+        self.zone = self.cell = self.kind = None
+        self.born = 0
+        self.waiting = {}       # forwards out that have neither started nor ended, oldest first
+        self.pending = 0        # prompt tokens of those
+        self.streams = 0        # tokens of this front's forwards out at a writer, started or not
+        self.kept = {}          # prefix or session -> tokens that a reader probably has kept
+        self.load, self.load_at, self.streams_then = None, 0, 0
+        self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
+        self.answered = self.tested = 0
+        self.cold_sends = []    # (time, work) of sends while it warms up
+        self.carried = Sum(4_000_000)
+
+    def judge(self, now, ratio):
+        self.late.add(now, min(ratio, 8))
+        self.tries.add(now, 1)
+
+
+class Front:
+    def __init__(self, seed, settings):
+        self.seed, self.settings, self.now, self.out = seed, settings, 0, None
+        get = settings.get
+        self.groups = {}
+        for i, group in enumerate(get("groups", ())):
+            group = dict(group)
+            for name in ("target_per_1000_prompt", "token_target"):
+                told = get(name) or [0]
+                group[name] = told[min(i, len(told) - 1)]
+            self.groups[group.get("name")] = group
+        self.fronts = max(1, get("fronts", 1))
+        self.round_time = get("round", 0)
+        self.release_within = get("release_within", 1_000_000)
+        self.cap = get("forwards_cap", 4)
+        self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
+        self.pace = {"read": Pace(), "write": Pace()}
+        self.stream_time, self.mean_work, self.buckets = {}, {}, {}
+        self.marks, self.wake_at = 0, 0
+        self.asked = self.ask_wait = 0
+
+    # ---- what comes in ----
+
+    def turn(self, now, inbox, out):
+        self.now, self.out = now, out
+        for call, arguments in inbox:
+            getattr(self, call)(*arguments)
+        self.follow_list()
+        self.look_after_forwards()
+        self.place_unread()
+        self.place_states()
+        self.set_wake()
+
+    def listed(self, version, scope, entries):
+        if scope == "failed":
+            self.ask_wait = min(max(2 * self.ask_wait, 500_000), 4_000_000)  # back off: the service is crowded
+            return
+        self.ask_wait = 0
+        roles = dict(zip(self.settings.get("kinds", ()), self.settings.get("role_by_kind", ())))
+        memory = dict(zip(self.settings.get("kinds", ()), self.settings.get("memory_by_kind", ())))
+        named = set()
+        for phase, weight, zone, id, cell, kind, born in entries:
+            named.add(id)
+            old = self.engines.get(id)
+            born = born or 0
+            if old is None or born > old.born and phase == "up":
+                # a restart under the same id: nothing learnt of the old process holds
+                engine = self.engines[id] = Engine(id)
+                if old is not None:
+                    engine.waiting, engine.pending, engine.streams = old.waiting, old.pending, old.streams
+                    engine.carried = old.carried
+            engine = self.engines[id]
+            engine.up, engine.zone, engine.cell, engine.kind, engine.born = phase == "up", zone, cell, kind, born
+            engine.role, engine.memory = roles.get(kind, "both"), memory.get(kind, 0)
+        if scope != "changes":
+            for id, engine in self.engines.items():
+                if id not in named:
+                    engine.up = False
+
+    def follow_list(self):
+        if self.settings.get("discovery") != "subscribe":
+            return
+        # asked again at half the time in which the front must ask, and after a failure with growing waits
+        every = self.ask_wait or self.settings.get("ask_within", 10_000_000) // 2
+        if not self.asked or self.now >= self.asked + every:
+            self.asked = self.now
+            self.out.subscribe()
+
+    def arrived(self, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags):
+        r = self.reqs[id] = self.live[id] = Req()
+        g = self.groups.get(group) or {}
+        r.id, r.group, r.customer, r.session, r.prefix = id, g, customer, session, prefix
+        r.home = prefix or session or str(id)
+        r.prompt, r.shared, r.arrived, r.deadline = prompt, shared, self.now, deadline
+        r.target = self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000
+        token = g.get("token_target") or 50_000
+        # without a hint an answer takes a quarter of what it may: a ceiling is set well above the usual
+        r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4
+        r.stage, r.reader, r.clock, r.used, r.out, r.effect = UNREAD, None, 0, 0, {}, None
+        r.held, r.banned = False, None
+        worth = g.get("importance", 1) * (self.settings.get("over_share_importance", 1) if self.over_share(r) else 1)
+        r.rank = (-worth, r.target)
+        seen = self.mean_work.setdefault(g.get("name"), [Sum(20_000_000), Sum(20_000_000)])
+        seen[0].add(self.now, prompt)
+        seen[1].add(self.now, 1)
+
+    def over_share(self, r):
+        """Whether its customer sends more than this front's part of the quota, with a second's allowance."""
+        for customer in self.settings.get("customers", ()):
+            if customer.get("name") == r.customer and customer.get("quota_per_s"):
+                rate = customer["quota_per_s"] / self.fronts
+                level, at = self.buckets.get(r.customer, (rate, self.now))
+                level = min(rate, level + rate * (self.now - at) / 1e6)
+                self.buckets[r.customer] = (level - 1 if level >= 1 else level, self.now)
+                return level < 1
+        return False
+
+    def first_token(self, id, n, engine, elapsed):
+        r = self.reqs.get(id)
+        f = r and r.out.get(n)
+        if not f or f.started:
+            return
+        f.started = True
+        self.ended_waiting(f)
+        self.give_back(f)
+        self.learn(f, elapsed)
+        r.held = False
+        if r.stage != ENDED:
+            r.stage = STARTED
+        self.live.pop(id, None)
+        for other in list(r.out.values()):
+            if other is not f:
+                self.cancel(other)
+
+    def outcome(self, id, n, ending, engine_id, elapsed, final, note, load):
+        engine = self.engines.get(engine_id)
+        if engine and load:
+            engine.load, engine.load_at, engine.streams_then = load, self.now, engine.streams
+        r = self.reqs.get(id)
+        f = r and r.out.pop(n, None)
+        if not f:
+            return
+        elapsed = elapsed or 0
+        self.ended_waiting(f)
+        self.give_back(f)
+        if not f.reads:
+            f.engine.streams -= f.tokens
+            if ending not in NEVER_RAN and r.effect is None:
+                r.effect = f
+        if ending == "read":
+            self.learn(f, elapsed)
+            self.keep(f.engine, r)
+            r.held = True
+        elif ending in ("error", "unreachable", "reset", "timed out") and not f.started or ending == "error":
+            # one measure for all that an engine fails at: counted as an answer five times later than expected
+            f.engine.judge(self.now, 5)
+        if not f.reads and ending in ("full", "done") and f.link:
+            f.engine.answered = self.now
+        if final:
+            self.end(r)
+        if r.stage == ENDED or r.stage == STARTED:
+            if r.held and not r.out:
+                self.let_go(r)
+            if not r.out and r.stage == ENDED:
+                del self.reqs[id]
+            return
+        if ending == "read":
+            r.stage, r.reader, r.clock = READ, f.engine, self.now
+        elif f.reads:
+            r.stage, r.banned = UNREAD, f.engine
+        else:
+            if ending == "full" and note == 1:
+                r.held = False
+            r.stage, r.clock, r.banned = READ if r.held else UNREAD, self.now, f.engine
+        if ending not in NEVER_RAN and not f.reads and r.group.get("effect") == "non-replayable":
+            self.give_up(r)
+
+    def place(self, id, n, engine, held, level):
+        pass  # places are not held ahead
+
+    def gone(self, id):
+        r = self.reqs.get(id)
+        if r and r.stage != ENDED:
+            self.end(r)
+            self.clear(r)
+
+    def timer(self, mark):
+        if mark == self.marks:
+            self.wake_at = 0
+
+    def probed(self, ending, elapsed, engine_id, load):
+        engine = self.engines.get(engine_id)
+        if engine and load:
+            engine.load, engine.load_at, engine.streams_then = load, self.now, engine.streams
+
+    def message(self, sender, content):
+        pass  # fronts decide alone
+
+    # ---- book-keeping ----
+
+    def ended_waiting(self, f):
+        if f.engine.waiting.pop((f.req.id, f.n), None):
+            f.engine.pending -= f.tokens if f.reads else 0
+
+    def give_back(self, f):
+        """Credit comes back exactly once: with the first token, the forward's end or the lapse."""
+        if f.link:
+            self.links[f.link].pop((f.req.id, f.n), None)
+
+    def learn(self, f, elapsed):
+        f.engine.answered = self.now
+        f.engine.judge(self.now, elapsed / max(f.expected, 1))
+        self.pace["read" if f.reads else "write"].add(self.now, elapsed, f.tokens)
+
+    def keep(self, engine, r):
+        kept = engine.kept
+        for key, tokens in ((r.prefix, r.shared), (r.session, r.prompt)):
+            if key:
+                kept.pop(key, None)
+                kept[key] = tokens
+        while len(kept) > 400:  # a few minutes of sessions: older ones have been pushed out
+            del kept[next(iter(kept))]
+
+    def cost(self, engine, r):
+        """Prompt tokens that this reader would have to read, less what it probably has kept."""
+        return max(r.prompt - max(engine.kept.get(r.prefix, 0), engine.kept.get(r.session, 0)), 0)
+
+    def cancel(self, f):
+        if not f.cancelled and not f.started and self.settings.get("may_cancel"):
+            f.cancelled = True
+            self.out.cancel(f.req.id, f.n)
+
+    def let_go(self, r):
+        r.held = False
+        self.out.let_go(r.id)
+
+    def end(self, r):
+        r.stage = ENDED
+        self.live.pop(r.id, None)
+
+    def clear(self, r):
+        for f in list(r.out.values()):
+            self.cancel(f)
+        if r.held:
+            self.let_go(r)
+        if not r.out:
+            self.reqs.pop(r.id, None)
+
+    def harmless(self, r):
+        """Whether a retry by the client is harmless: all that a pushback promises."""
+        effect = r.group.get("effect")
+        ran = r.effect is not None or any(not f.reads for f in r.out.values())
+        return effect == "replayable" or not ran or effect == "keyed" and r.group.get("repeat_scope") == "all"
+
+    def may_send(self, r, engine):
+        """Rule 2: where a further forward of this req may go."""
+        effect = r.group.get("effect")
+        if effect == "replayable":
+            return True
+        ran = r.effect or next((f for f in r.out.values() if not f.reads), None)
+        if ran is None:
+            return True
+        if effect != "keyed" or self.now >= ran.sent + r.group.get("repeat_window", 0) - 2 * self.round_time:
+            return False
+        scope = r.group.get("repeat_scope")
+        return (scope == "all" or scope == "zone" and engine.zone == ran.engine.zone
+                or scope == "cell" and engine.cell == ran.engine.cell)
+
+    def give_up(self, r):
+        """The final answer, at once."""
+        self.end(r)
+        if self.harmless(r):
+            wait = 0
+            if self.settings.get("may_advise"):
+                # half the target: by then part of what waits has gone, and an answer in time is still possible
+                wait = min(int(r.group.get("target", 0)) // 2, self.settings.get("advice_cap", 0))
+            self.out.push_back(r.id, wait)
+        else:
+            self.out.abort(r.id)
+        self.clear(r)
+
+    # ---- engines ----
+
+    def strain(self, engine):
+        """How many times later than its pool an engine answers; what is still out counts with its age."""
+        value = (engine.late.read(self.now) + 2) / (engine.tries.read(self.now) + 2)
+        for f in engine.waiting.values():
+            if engine.answered < f.sent:
+                value = max(value, (self.now - f.sent) / f.expected / 2)
+            break
+        return max(value, 1 / self.warmth(engine))
+
+    def warmth(self, engine):
+        warm = self.settings.get("warm_within", 0)
+        age = self.now - engine.born
+        if not engine.born or age >= warm:
+            return 1
+        start = self.settings.get("cold_share", 1)
+        return start + (1 - start) * max(age, 0) / warm
+
+    def pool(self, reads):
+        roles = ("read",) if reads else ("write", "both")
+        engines = [e for e in self.engines.values() if e.up and e.role in roles]
+        if reads and not engines:  # mixed engines read for themselves, and writers where the site lets them
+            also = "write" if self.settings.get("writers_read") else ""
+            engines = [e for e in self.engines.values() if e.up and e.role in ("both", also)]
+        return engines
+
+    def usable(self, engines, r):
+        """Engines that may get this req: allowed by rule 2, not pushed over while cold, and not suspected.
+
+        Suspicion is relative: when most look bad the cause is not the engines, and all are used. A suspected
+        engine with nothing out is tested by one req a second.
+        """
+        engines = [e for e in engines if self.may_send(r, e) and self.cold_room(e, r, engines)]
+        strains = {e.id: self.strain(e) for e in engines}
+        if not strains:
+            return [], strains
+        usual = median(strains.values())
+        good = [e for e in engines if strains[e.id] < 3 * max(usual, 1) or 1 / self.warmth(e) >= strains[e.id]
+                or not e.waiting and self.now > e.tested + 1_000_000]
+        if 2 * len(good) < len(engines):
+            good = engines
+        if r.banned in good and len(good) > 1:
+            good = [e for e in good if e is not r.banned]
+        return good, strains
+
+    def cold_room(self, engine, r, peers):
+        """Rule 4: this front's part of what an engine that warms up can take within one window."""
+        if self.warmth(engine) == 1:
+            engine.cold_sends.clear()
+            return True
+        window = self.settings.get("cold_window", 0)
+        while engine.cold_sends and engine.cold_sends[0][0] <= self.now - window:
+            engine.cold_sends.pop(0)
+        if not engine.cold_sends:
+            return True
+        warm = [e.carried.read(self.now) for e in self.engines.values()
+                if e.role == engine.role and e.up and self.warmth(e) == 1]
+        # a sum that halves in H holds rate x H / ln 2; 0.6 leaves slack for chance
+        rate = sum(warm) / len(warm) / (4_000_000 / 0.693) if warm else 0
+        share = self.settings.get("cold_multiple", 1) * self.settings.get("cold_share", 1)
+        budget = 0.6 * share * rate * window
+        return sum(work for _, work in engine.cold_sends) + self.usual_work(r) <= budget
+
+    def usual_work(self, r):
+        total, count = self.mean_work[r.group.get("name")]
+        return total.read(self.now) / max(count.read(self.now), 1e-9)
+
+    def room(self, engine):
+        """Tokens of memory that a writer probably has free: from its report, blended by age into this front's view."""
+        if not engine.memory:
+            return float("inf")
+        mine = engine.streams / engine.memory
+        share = mine * self.fronts
+        told = (engine.load or {}).get("memory_share")
+        if told is not None:
+            trust = exp(-(self.now - engine.load_at) / 2e6)  # reports are a good second old on the whole
+            share = trust * (told + (engine.streams - engine.streams_then) / engine.memory) + (1 - trust) * share
+        return (0.9 - share) * engine.memory  # a tenth is left for answers that grow
+
+    # ---- forwards ----
+
+    def send(self, r, engine, reads, link=None, expected=0):
+        f = Forward()
+        f.req, f.n, f.engine, f.sent, f.reads, f.link = r, r.used, engine, self.now, reads, link
+        f.started = f.cancelled = False
+        f.tokens = self.cost(engine, r) if reads else r.prompt + r.answer
+        r.used += 1
+        r.out[f.n] = f
+        if reads:
+            engine.pending += f.tokens
+            f.expected = self.pace["read"].expect(self.now, engine.pending)
+            r.stage = READING
+        else:
+            engine.streams += f.tokens
+            f.expected = self.pace["write"].expect(self.now, f.tokens)
+            r.stage = WRITING
+        f.expected = max(f.expected / self.warmth(engine), 1)
+        engine.waiting[(r.id, f.n)] = f
+        if not engine.waiting or self.strain(engine) >= 3:
+            engine.tested = self.now
+        engine.carried.add(self.now, self.usual_work(r))
+        if self.warmth(engine) < 1:
+            engine.cold_sends.append((self.now, self.usual_work(r)))
+        if link:
+            self.links.setdefault(link, {})[(r.id, f.n)] = (r.prompt, self.now, engine)
+        self.out.forward(r.id, engine.id, 0)
+
+    def look_after_forwards(self):
+        """Cancels what an engine sits on, and answers what can no longer be served."""
+        for r in list(self.live.values()):
+            # answered two rounds before the deadline, so that the answer is out in time
+            if self.now >= r.deadline - 2 * self.round_time - 2000:
+                self.give_up(r)
+                continue
+            if r.used >= self.cap or not self.settings.get("may_cancel"):
+                continue
+            for f in list(r.out.values()):
+                if not f.reads and r.group.get("effect") != "replayable" or f.cancelled:
+                    continue
+                # a quarter of the target leaves time for another try within it
+                patience = max(5 * f.expected, (r.target - r.arrived) / 4)
+                peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
+                if self.now - f.sent > patience and f.engine.answered < f.sent and peers:
+                    f.engine.judge(self.now, 5)
+                    self.cancel(f)
+
+    def place_unread(self):
+        unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank + (r.id,))
+        if not unread:
+            return
+        writers = self.pool(False)
+        free = sum(max(self.room(e), 0) for e in writers) / self.fronts
+        on_way = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ))
+        for r in unread:
+            if r.used + 2 > self.cap:
+                self.give_up(r)
+                continue
+            need = r.prompt + r.answer
+            if not on_way or on_way + need <= free:
+                engine = self.pick_reader(r)
+                if engine:
+                    self.send(r, engine, engine.role == "read")
+                    on_way += need
+                    continue
+            eta = self.pace["read"].expect(self.now, r.prompt) + self.pace["write"].expect(self.now, need)
+            if self.now + eta > r.target:
+                self.give_up(r)
+
+    def pick_reader(self, r):
+        engines, strains = self.usable(self.pool(True), r)
+        if not engines:
+            return None
+        # one step's worth is added so that an idle but slow reader shows
+        load = {e.id: (e.pending + Pace.BASE) * strains[e.id] for e in engines}
+        home = max(engines, key=lambda e: (crc32(("%s %s" % (r.home, e.id)).encode()), e.id))
+        # clearly over: twice the median and four steps more
+        if load[home.id] <= 2 * median(load.values()) + 4 * Pace.BASE:
+            return home
+        return min(engines, key=lambda e: (load[e.id] + self.cost(e, r), crc32(("%s %s" % (r.home, e.id)).encode())))
+
+    def place_states(self):
+        waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank + (r.id,))
+        for r in waiting:
+            if r.used >= self.cap:
+                self.give_up(r)
+                continue
+            last = self.now >= self.release_at(r)
+            engines, strains = self.usable(self.pool(False), r)
+            choice = self.pick_writer(r, engines, strains, last)
+            if choice:
+                self.send(r, choice, False, self.link(r, choice))
+            elif last:
+                self.give_up(r)
+
+    def release_at(self, r):
+        # shortly before: two rounds and a tenth of the limit
+        return r.clock + self.release_within - 2 * self.round_time - self.release_within // 10
+
+    def link(self, r, engine):
+        return (r.reader.cell, "port") if r.reader.cell == engine.cell else (r.reader.cell, "out")
+
+    def has_credit(self, r, engine):
+        spent = self.links.setdefault(self.link(r, engine), {})
+        for key in [key for key, (_, sent, _) in spent.items() if self.now - sent > 2_000_000]:
+            del spent[key]  # the lapse
+        used = sum(tokens for tokens, _, _ in spent.values())
+        return not used or used + r.prompt <= 32_000  # a prompt larger than the window crosses an idle link
+
+    def pick_writer(self, r, engines, strains, last):
+        able = [e for e in engines if last or self.room(e) >= r.prompt + r.answer and self.has_credit(r, e)]
+        if not able:
+            return None
+        load = {}
+        for e in able:
+            load[e.id] = (1 - self.room(e) / e.memory if e.memory else e.streams / 1e6) * strains[e.id]
+        best = min(able, key=lambda e: (load[e.id], e.id))
+        for near in ([e for e in able if e.cell == r.reader.cell], [e for e in able if e.zone == r.reader.zone]):
+            if near:
+                pick = min(near, key=lambda e: (load[e.id], e.id))
+                if load[pick.id] <= load[best.id] + 0.15:  # clearly busier: by more than a seventh of its memory
+                    return pick
+        return best
+
+    def set_wake(self):
+        due = None
+        for r in self.live.values():
+            at = self.release_at(r) if r.stage == READ else self.now + 20_000  # looked after every 20 ms
+            if r.stage == READ:
+                at = min(at, self.now + 10_000)
+            due = at if due is None or at < due else due
+        if self.settings.get("discovery") == "subscribe":
+            due = min(due or self.now + 500_000, self.now + 500_000)
+        if due is not None and (not self.wake_at or due < self.wake_at or self.wake_at <= self.now):
+            due = max(due, self.now + 1)
+            self.marks, self.wake_at = self.marks + 1, due
+            self.out.wake(self.marks, due - self.now)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,73 @@
+import unittest
+
+from tests.helpers import Rig, row
+
+
+class OrdinaryPath(unittest.TestCase):
+    def test_read_then_written(self):
+        rig = Rig()
+        self.assertEqual(rig.ask(1).all("forward"), [(1, "r1", 0)])
+        self.assertEqual(rig.end(1, 0, "read", "r1").all("forward"), [(1, "w1", 0)])
+        rig.play(("first_token", (1, 1, "w1", 500)))
+        self.assertEqual(list(rig.end(1, 1, "done", "w1", final=True)), [])
+        self.assertEqual((rig.front.reqs, rig.front.live), ({}, {}))
+
+    def test_credit_comes_back_on_each_way_out(self):
+        for calls in ([("first_token", (1, 1, "w1", 500))], [("outcome", (1, 1, "full", "w1", 500, False, 0, None))],
+                      [("outcome", (1, 1, "reset", "w1", 500, True, 0, None))]):
+            with self.subTest(calls=calls):
+                rig = Rig(release_within=60_000_000)
+                rig.ask(1, prompt=30_000)
+                rig.end(1, 0, "read", "r1")
+                rig.ask(2, prompt=30_000)
+                self.assertEqual(rig.end(2, 0, "read", "r1").all("forward"), [])
+                self.assertIn((2, "w1", 0), rig.play(*calls).all("forward"))
+
+    def test_joins_the_queue_shortly_before_release(self):
+        rig = Rig()
+        rig.ask(1, prompt=30_000)
+        rig.end(1, 0, "read", "r1")
+        rig.ask(2, prompt=30_000)
+        rig.end(2, 0, "read", "r1")
+        self.assertEqual(rig.play(after=100_000).all("forward"), [])
+        self.assertEqual(rig.play(after=180_000).all("forward"), [(2, "w1", 0)])
+
+
+class Rules(unittest.TestCase):
+    def test_answer_before_the_deadline_and_nothing_pinned(self):
+        rig = Rig([row("r1", "rd")])
+        rig.ask(1, last=200_000)
+        rig.end(1, 0, "read", "r1")
+        seen = rig.play(after=196_000)
+        self.assertEqual((seen.all("push_back"), seen.all("let_go")), ([(1, 0)], [(1,)]))
+
+    def test_no_double_effect(self):
+        cases = (("replayable", "all", "timed out", "forward"), ("non-replayable", "", "timed out", "abort"),
+                 ("non-replayable", "", "unreachable", "forward"), ("keyed", "all", "reset", "forward"),
+                 ("keyed", "cell", "reset", None))
+        for effect, scope, ending, then in cases:
+            with self.subTest(effect=effect, scope=scope, ending=ending):
+                rig = Rig([row("r1", "rd"), row("w1", "wr"), row("w2", "wr", cell=1)],
+                          groups=[{"name": "chat", "effect": effect, "repeat_scope": scope, "target": 1_000_000,
+                                   "repeat_window": 5_000_000}])
+                rig.ask(1)
+                rig.end(1, 0, "read", "r1")
+                seen = rig.end(1, 1, ending, "w1")
+                if then:
+                    self.assertEqual([seen[0][0], seen[0][1]], [then, 1])
+                else:
+                    self.assertEqual([f for f in seen.all("forward") if f[1] == "w2"], [])
+
+    def test_nothing_new_to_a_draining_engine(self):
+        rig = Rig()
+        rig.play(("listed", (2, "changes", [row("r1", "rd", phase="draining")])))
+        self.assertEqual(rig.ask(1).all("forward"), [])
+
+    def test_cold_engine_gets_its_part(self):
+        rig = Rig([row("r1", "rd", born=1_000_000_000 - 1), row("w1", "wr")])
+        sent = sum(len(rig.ask(i).all("forward")) for i in range(20))
+        self.assertEqual(sent, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
