--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,7 +13,7 @@
         self.assertEqual((rig.front.reqs, rig.front.live), ({}, {}))
 
     def test_credit_comes_back_on_each_way_out(self):
-        for calls in ([("first_token", (1, 1, "w1", 500))], [("outcome", (1, 1, "full", "w1", 500, False, 0, None))],
+        for calls in ([("first_token", (1, 1, "w1", 500))], [("outcome", (1, 1, "full", "w1", 500, False, 1, None))],
                       [("outcome", (1, 1, "reset", "w1", 500, True, 0, None))]):
             with self.subTest(calls=calls):
                 rig = Rig(release_within=60_000_000)
