Wake on time for the answer owed at the deadline

Cause: reqs held unread were looked at every 20 ms only, so the window between the deadline margin and the slack could be missed.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -455,8 +455,7 @@
     def look_after_forwards(self):
         """Cancels what an engine sits on, and answers what can no longer be served."""
         for r in list(self.live.values()):
-            # answered two rounds before the deadline, so that the answer is out in time
-            if self.now >= r.deadline - 2 * self.round_time - 2000:
+            if self.now >= self.answer_by(r):
                 self.give_up(r)
                 continue
             if r.used >= self.cap or not self.settings.get("may_cancel"):
@@ -519,6 +518,9 @@
             elif last:
                 self.give_up(r)
 
+    def answer_by(self, r):
+        return r.deadline - 2 * self.round_time - 2000  # two rounds early, so that the answer is out in time
+
     def release_at(self, r):
         # shortly before: two rounds and a tenth of the limit
         return r.clock + self.release_within - 2 * self.round_time - self.release_within // 10
@@ -551,9 +553,10 @@
     def set_wake(self):
         due = None
         for r in self.live.values():
-            at = self.release_at(r) if r.stage == READ else self.now + 20_000  # looked after every 20 ms
+            # looked after every 20 ms, and on time for the release and for the answer that is owed
+            at = min(self.answer_by(r), self.now + 20_000)
             if r.stage == READ:
-                at = min(at, self.now + 10_000)
+                at = min(at, self.release_at(r))
             due = at if due is None or at < due else due
         if self.settings.get("discovery") == "subscribe":
             due = min(due or self.now + 500_000, self.now + 500_000)
