Hold reqs at the front when readers are behind; push back early what can't make it

Cause: reader queues longer than the target, so nearly all came late. Also guards against slow pools and bursts; it could refuse too much when a pool's pace is misjudged.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -482,27 +482,30 @@
                 self.give_up(r)
                 continue
             need = r.prompt + r.answer
-            if not on_way or on_way + need <= free:
-                engine = self.pick_reader(r)
-                if engine:
-                    self.send(r, engine, engine.role == "read")
-                    on_way += need
-                    continue
-            eta = self.pace["read"].expect(self.now, r.prompt) + self.pace["write"].expect(self.now, need)
-            if self.now + eta > r.target:
+            engine, wait = self.pick_reader(r)
+            # what waits here can still be put in order, or told to come back; so no reader is given a queue
+            # that eats up more than two fifths of the target
+            short = engine and (not engine.pending or wait <= (r.target - r.arrived) * 0.4)
+            if short and (not on_way or on_way + need <= free):
+                self.send(r, engine, engine.role == "read")
+                on_way += need
+            elif self.now + wait + self.pace["write"].expect(self.now, need) > r.target:
                 self.give_up(r)
 
     def pick_reader(self, r):
         engines, strains = self.usable(self.pool(True), r)
         if not engines:
-            return None
+            return None, self.pace["read"].expect(self.now, r.prompt)
         # one step's worth is added so that an idle but slow reader shows
         load = {e.id: (e.pending + Pace.BASE) * strains[e.id] for e in engines}
         home = max(engines, key=lambda e: (crc32(("%s %s" % (r.home, e.id)).encode()), e.id))
-        # clearly over: twice the median and four steps more
-        if load[home.id] <= 2 * median(load.values()) + 4 * Pace.BASE:
-            return home
-        return min(engines, key=lambda e: (load[e.id] + self.cost(e, r), crc32(("%s %s" % (r.home, e.id)).encode())))
+        # clearly over: twice the median and this front's part of a step more, as the other fronts send there too
+        pick = home
+        if load[home.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
+            # fewest pending with its own prompt counted; of those about as good, fronts agree on one by the hash
+            pick = min(engines, key=lambda e: (int((load[e.id] + self.cost(e, r)) / Pace.BASE),
+                                               -crc32(("%s %s" % (r.home, e.id)).encode()), e.id))
+        return pick, self.pace["read"].expect(self.now, pick.pending + self.cost(pick, r)) * strains[pick.id]
 
     def place_states(self):
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank + (r.id,))
