--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -53,7 +53,8 @@
 
 
 class Forward:
-    __slots__ = ("req", "n", "engine", "sent", "tokens", "expected", "reads", "link", "started", "cancelled")
+    __slots__ = ("req", "n", "engine", "sent", "tokens", "expected", "reads", "link", "started", "cancelled",
+                 "roomy")
 
 
 class Req:
@@ -100,7 +101,8 @@
         self.cap = get("forwards_cap", 4)
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.pace = {"read": Pace(), "write": Pace()}
-        self.stream_time, self.mean_work, self.buckets = {}, {}, {}
+        self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
+        self.mean_work, self.buckets = {}, {}
         self.marks, self.wake_at = 0, 0
         self.asked = self.ask_wait = 0
 
@@ -210,6 +212,7 @@
         self.give_back(f)
         if not f.reads:
             f.engine.streams -= f.tokens
+            self.drained.add(self.now, f.tokens if f.started else 0)
             if ending not in NEVER_RAN and r.effect is None:
                 r.effect = f
         if ending == "read":
@@ -274,6 +277,8 @@
 
     def learn(self, f, elapsed):
         f.engine.answered = self.now
+        if not f.roomy:
+            return  # a wait for memory says nothing of how fast the engine is
         f.engine.judge(self.now, elapsed / max(f.expected, 1))
         self.pace["read" if f.reads else "write"].add(self.now, elapsed, f.tokens)
 
@@ -422,14 +427,14 @@
         if told is not None:
             trust = exp(-(self.now - engine.load_at) / 2e6)  # reports are a good second old on the whole
             share = trust * (told + (engine.streams - engine.streams_then) / engine.memory) + (1 - trust) * share
-        return (0.9 - share) * engine.memory  # a tenth is left for answers that grow
+        return (1 - share) * engine.memory
 
     # ---- forwards ----
 
-    def send(self, r, engine, reads, link=None, expected=0):
+    def send(self, r, engine, reads, link=None, roomy=True):
         f = Forward()
         f.req, f.n, f.engine, f.sent, f.reads, f.link = r, r.used, engine, self.now, reads, link
-        f.started = f.cancelled = False
+        f.started, f.cancelled, f.roomy = False, False, roomy
         f.tokens = self.cost(engine, r) if reads else r.prompt + r.answer
         r.used += 1
         r.out[f.n] = f
@@ -464,7 +469,8 @@
                 if not f.reads and r.group.get("effect") != "replayable" or f.cancelled:
                     continue
                 # a quarter of the target leaves time for another try within it
-                patience = max(5 * f.expected, (r.target - r.arrived) / 4)
+                # and one that joined a queue without room gets twice that
+                patience = max(5 * f.expected, (r.target - r.arrived) / (4 if f.roomy else 2))
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
                 if self.now - f.sent > patience and f.engine.answered < f.sent and peers:
                     f.engine.judge(self.now, 5)
@@ -475,7 +481,10 @@
         if not unread:
             return
         writers = self.pool(False)
+        # what is free now, for each front its part, and what this front's own answers leave by half a target
         free = sum(max(self.room(e), 0) for e in writers) / self.fronts
+        drain = self.drained.read(self.now) * 0.693 / 4_000_000
+        blocked = False
         on_way = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ))
         for r in unread:
             if r.used + 2 > self.cap:
@@ -486,7 +495,9 @@
             # what waits here can still be put in order, or told to come back; so no reader is given a queue
             # that eats up more than two fifths of the target
             short = engine and (not engine.pending or wait <= (r.target - r.arrived) * 0.4)
-            if short and (not on_way or on_way + need <= free):
+            # none passes one of higher rank that waits for room: the small would starve the large
+            blocked = blocked or on_way and on_way + need > free + drain * (r.target - r.arrived) / 2
+            if short and not blocked:
                 self.send(r, engine, engine.role == "read")
                 on_way += need
             elif self.now + wait + self.pace["write"].expect(self.now, need) > r.target:
@@ -509,18 +520,28 @@
 
     def place_states(self):
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank + (r.id,))
+        self.promised = {}  # room that waits for a state of higher rank
         for r in waiting:
             if r.used >= self.cap:
                 self.give_up(r)
                 continue
             last = self.now >= self.release_at(r)
             engines, strains = self.usable(self.pool(False), r)
-            choice = self.pick_writer(r, engines, strains, last)
+            choice = self.pick_writer(r, [e for e in engines if self.has_room(e, r) and self.has_credit(r, e)], strains)
             if choice:
                 self.send(r, choice, False, self.link(r, choice))
+                continue
+            choice = self.pick_writer(r, engines, strains)
+            if not last and choice:
+                self.promised[choice.id] = self.promised.get(choice.id, 0) + r.prompt
+            elif last and choice:
+                self.send(r, choice, False, self.link(r, choice), roomy=False)
             elif last:
                 self.give_up(r)
 
+    def has_room(self, engine, r):
+        return self.room(engine) - self.promised.get(engine.id, 0) >= r.prompt
+
     def answer_by(self, r):
         return r.deadline - 2 * self.round_time - 2000  # two rounds early, so that the answer is out in time
 
@@ -538,8 +559,7 @@
         used = sum(tokens for tokens, _, _ in spent.values())
         return not used or used + r.prompt <= 32_000  # a prompt larger than the window crosses an idle link
 
-    def pick_writer(self, r, engines, strains, last):
-        able = [e for e in engines if last or self.room(e) >= r.prompt + r.answer and self.has_credit(r, e)]
+    def pick_writer(self, r, able, strains):
         if not able:
             return None
         load = {}
