--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -460,8 +460,9 @@
     def look_after_forwards(self):
         """Cancels what an engine sits on, and answers what can no longer be served."""
         for r in list(self.live.values()):
-            if self.now >= self.answer_by(r):
-                self.give_up(r)
+            last = next(reversed(r.out.values()), None)
+            if self.now >= self.answer_by(r) or last and not last.roomy and self.now > r.target and self.harmless(r):
+                self.give_up(r)  # also what joined a writer's queue for want of room and missed its target there
                 continue
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
@@ -480,27 +481,28 @@
         unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank + (r.id,))
         if not unread:
             return
-        writers = self.pool(False)
-        # what is free now, for each front its part, and what this front's own answers leave by half a target
-        free = sum(max(self.room(e), 0) for e in writers) / self.fronts
+        # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free now,
+        # against what its own answers free (a sum that halves in H holds rate x H / ln 2)
+        free = sum(max(self.room(e), 0) for e in self.pool(False)) / self.fronts
+        ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ, WRITING)) - free
         drain = self.drained.read(self.now) * 0.693 / 4_000_000
         blocked = False
-        on_way = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ))
         for r in unread:
             if r.used + 2 > self.cap:
                 self.give_up(r)
                 continue
             need = r.prompt + r.answer
             engine, wait = self.pick_reader(r)
-            # what waits here can still be put in order, or told to come back; so no reader is given a queue
-            # that eats up more than two fifths of the target
-            short = engine and (not engine.pending or wait <= (r.target - r.arrived) * 0.4)
-            # none passes one of higher rank that waits for room: the small would starve the large
-            blocked = blocked or on_way and on_way + need > free + drain * (r.target - r.arrived) / 2
-            if short and not blocked:
+            queue = max(ahead + need, 0) / drain if drain else 0
+            # what waits here can still be put in order, or told to come back; so no reader is given a queue that
+            # eats up more than two fifths of the target, and reads that would wait for a writer's room beyond
+            # the target aren't begun. None passes one of higher rank that waits for room: the small would
+            # starve the large
+            blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
+            if engine and not blocked and (not engine.pending or wait <= (r.target - r.arrived) * 0.4):
                 self.send(r, engine, engine.role == "read")
-                on_way += need
-            elif self.now + wait + self.pace["write"].expect(self.now, need) > r.target:
+                ahead += need
+            elif self.now + wait + queue > r.target:
                 self.give_up(r)
 
     def pick_reader(self, r):
