Count states that have not landed as pending at their reader

Also guards against a slow link and full near writers; it costs kept text when states wait for other reasons.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -486,6 +486,12 @@
         free = sum(max(self.room(e), 0) for e in self.pool(False)) / self.fronts
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ, WRITING)) - free
         drain = self.drained.read(self.now) * 0.693 / 4_000_000
+        # a read state that has not landed is pending at its reader too: a jammed link or full writers near it
+        # show there, and its prefixes are read elsewhere until it clears
+        self.parked = {}
+        for r in self.live.values():
+            if r.stage in (READ, WRITING) and r.reader:
+                self.parked[r.reader.id] = self.parked.get(r.reader.id, 0) + r.prompt
         blocked = False
         for r in unread:
             if r.used + 2 > self.cap:
@@ -510,7 +516,7 @@
         if not engines:
             return None, self.pace["read"].expect(self.now, r.prompt)
         # one step's worth is added so that an idle but slow reader shows
-        load = {e.id: (e.pending + Pace.BASE) * strains[e.id] for e in engines}
+        load = {e.id: (e.pending + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
         home = max(engines, key=lambda e: (crc32(("%s %s" % (r.home, e.id)).encode()), e.id))
         # clearly over: twice the median and this front's part of a step more, as the other fronts send there too
         pick = home
@@ -533,7 +539,7 @@
             if choice:
                 self.send(r, choice, False, self.link(r, choice))
                 continue
-            choice = self.pick_writer(r, engines, strains)
+            choice = self.pick_writer(r, [e for e in engines if self.has_credit(r, e)] or engines, strains)
             if not last and choice:
                 self.promised[choice.id] = self.promised.get(choice.id, 0) + r.prompt
             elif last and choice:
