--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -517,13 +517,15 @@
             return None, self.pace["read"].expect(self.now, r.prompt)
         # one step's worth is added so that an idle but slow reader shows
         load = {e.id: (e.pending + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
-        home = max(engines, key=lambda e: (crc32(("%s %s" % (r.home, e.id)).encode()), e.id))
+        total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
+        rank = {e.id: crc32(("%s %s" % (r.home, e.id)).encode()) for e in engines}
+        pick = max(engines, key=lambda e: (rank[e.id], e.id))
         # clearly over: twice the median and this front's part of a step more, as the other fronts send there too
-        pick = home
-        if load[home.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
-            # fewest pending with its own prompt counted; of those about as good, fronts agree on one by the hash
-            pick = min(engines, key=lambda e: (int((load[e.id] + self.cost(e, r)) / Pace.BASE),
-                                               -crc32(("%s %s" % (r.home, e.id)).encode()), e.id))
+        if load[pick.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
+            # fewest pending with its own prompt counted, less what is kept: reading a beginning anew elsewhere has
+            # to pay, or spilled reads jam the rest. Of those about as good, fronts agree on one by the hash
+            least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
+            pick = least if total[least.id] < total[pick.id] else pick
         return pick, self.pace["read"].expect(self.now, pick.pending + self.cost(pick, r)) * strains[pick.id]
 
     def place_states(self):
