--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -469,9 +469,8 @@
             for f in list(r.out.values()):
                 if not f.reads and r.group.get("effect") != "replayable" or f.cancelled:
                     continue
-                # a quarter of the target leaves time for another try within it
-                # and one that joined a queue without room gets twice that
-                patience = max(5 * f.expected, (r.target - r.arrived) / (4 if f.roomy else 2))
+                # half the target leaves time for another try within it; less would read anew what merely queues
+                patience = max(5 * f.expected, (r.target - r.arrived) / 2)
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
                 if self.now - f.sent > patience and f.engine.answered < f.sent and peers:
                     f.engine.judge(self.now, 5)
