--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -75,7 +75,7 @@
         self.kept = {}          # prefix or session -> tokens that a reader probably has kept
         self.load, self.load_at, self.streams_then = None, 0, 0
         self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
-        self.answered = self.tested = 0
+        self.answered = self.tested = self.served_to = 0
         self.cold_sends = []    # (time, work) of sends while it warms up
         self.carried = Sum(4_000_000)
 
@@ -159,7 +159,8 @@
         r.id, r.group, r.customer, r.session, r.prefix = id, g, customer, session, prefix
         r.home = prefix or session or str(id)
         r.prompt, r.shared, r.arrived, r.deadline = prompt, shared, self.now, deadline
-        r.target = self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000
+        # a client that gives up before its response target moves the target forward: late is lost there
+        r.target = min(self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000, deadline)
         token = g.get("token_target") or 50_000
         # without a hint an answer takes a quarter of what it may: a ceiling is set well above the usual
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4
@@ -277,6 +278,7 @@
 
     def learn(self, f, elapsed):
         f.engine.answered = self.now
+        f.engine.served_to = max(f.engine.served_to, f.sent)
         if not f.roomy:
             return  # a wait for memory says nothing of how fast the engine is
         f.engine.judge(self.now, elapsed / max(f.expected, 1))
@@ -471,8 +473,12 @@
                     continue
                 # half the target leaves time for another try within it; less would read anew what merely queues
                 patience = max(5 * f.expected, (r.target - r.arrived) / 2)
+                if self.now - f.sent < patience:
+                    continue
+                # hung: silent since then, while peers answered. Lost on the way or in the engine: one sent later
+                # was answered. An engine that answers earlier ones is only behind, and is left alone
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
-                if self.now - f.sent > patience and f.engine.answered < f.sent and peers:
+                if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
                     f.engine.judge(self.now, 5)
                     self.cancel(f)
 
