--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -159,8 +159,7 @@
         r.id, r.group, r.customer, r.session, r.prefix = id, g, customer, session, prefix
         r.home = prefix or session or str(id)
         r.prompt, r.shared, r.arrived, r.deadline = prompt, shared, self.now, deadline
-        # a client that gives up before its response target moves the target forward: late is lost there
-        r.target = min(self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000, deadline)
+        r.target = self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000
         token = g.get("token_target") or 50_000
         # without a hint an answer takes a quarter of what it may: a ceiling is set well above the usual
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4
@@ -506,14 +505,14 @@
             engine, wait = self.pick_reader(r)
             queue = max(ahead + need, 0) / drain if drain else 0
             # what waits here can still be put in order, or told to come back; so no reader is given a queue that
-            # eats up more than two fifths of the target, and reads that would wait for a writer's room beyond
+            # eats up more than three fifths of the target, and reads that would wait for a writer's room beyond
             # the target aren't begun. None passes one of higher rank that waits for room: the small would
             # starve the large
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
-            if engine and not blocked and (not engine.pending or wait <= (r.target - r.arrived) * 0.4):
+            if engine and not blocked and (not engine.pending or wait <= (r.target - r.arrived) * 0.6):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
-            elif self.now + wait + queue > r.target:
+            elif self.now + 0.5 * wait + queue > r.target:  # half: only what has hardly a chance is told to go
                 self.give_up(r)
 
     def pick_reader(self, r):
