Cold budget goes by what an engine carried before when most have restarted at once

Cause: with no warm engine of the role the budget was one req a window and nearly all was pushed back. Could send too much if the load before was above capacity. Also: a restart under the same id keeps count of what is out.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -72,12 +72,16 @@
         self.waiting = {}       # forwards out that have neither started nor ended, oldest first
         self.pending = 0        # prompt tokens of those
         self.streams = 0        # tokens of this front's forwards out at a writer, started or not
+        self.answered = self.tested = self.served_to = 0
+        self.carried = Sum(4_000_000)
+        self.forget()
+
+    def forget(self):
+        """A fresh process, also under an old id: nothing learnt of another holds."""
         self.kept = {}          # prefix or session -> tokens that a reader probably has kept
         self.load, self.load_at, self.streams_then = None, 0, 0
         self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
-        self.answered = self.tested = self.served_to = 0
         self.cold_sends = []    # (time, work) of sends while it warms up
-        self.carried = Sum(4_000_000)
 
     def judge(self, now, ratio):
         self.late.add(now, min(ratio, 8))
@@ -102,7 +106,8 @@
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.pace = {"read": Pace(), "write": Pace()}
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
-        self.mean_work, self.buckets = {}, {}
+        self.mean_work, self.buckets, self.carried = {}, {}, {}
+        self.parked, self.promised = {}, {}
         self.marks, self.wake_at = 0, 0
         self.asked = self.ask_wait = 0
 
@@ -130,12 +135,10 @@
             named.add(id)
             old = self.engines.get(id)
             born = born or 0
-            if old is None or born > old.born and phase == "up":
-                # a restart under the same id: nothing learnt of the old process holds
-                engine = self.engines[id] = Engine(id)
-                if old is not None:
-                    engine.waiting, engine.pending, engine.streams = old.waiting, old.pending, old.streams
-                    engine.carried = old.carried
+            if old is None:
+                self.engines[id] = Engine(id)
+            elif born > old.born and phase == "up":
+                old.forget()
             engine = self.engines[id]
             engine.up, engine.zone, engine.cell, engine.kind, engine.born = phase == "up", zone, cell, kind, born
             engine.role, engine.memory = roles.get(kind, "both"), memory.get(kind, 0)
@@ -406,12 +409,13 @@
             engine.cold_sends.pop(0)
         if not engine.cold_sends:
             return True
-        warm = [e.carried.read(self.now) for e in self.engines.values()
-                if e.role == engine.role and e.up and self.warmth(e) == 1]
-        # a sum that halves in H holds rate x H / ln 2; 0.6 leaves slack for chance
-        rate = sum(warm) / len(warm) / (4_000_000 / 0.693) if warm else 0
+        up = [e for e in self.engines.values() if e.role == engine.role and e.up]
+        warm = [e.carried.read(self.now) for e in up if self.warmth(e) == 1]
+        # what a warm one carries now, or, when most have restarted at once, what one carried on the whole lately;
+        # a sum that halves in H holds rate x H / ln 2. Seen loads are under capacity, which is the slack for chance
+        rate = max(sum(warm) / max(len(warm), 1) / 4, self.carried[engine.role].read(self.now) / len(up) / 30)
         share = self.settings.get("cold_multiple", 1) * self.settings.get("cold_share", 1)
-        budget = 0.6 * share * rate * window
+        budget = share * rate * 0.693e-6 * window
         return sum(work for _, work in engine.cold_sends) + self.usual_work(r) <= budget
 
     def usual_work(self, r):
@@ -452,6 +456,7 @@
         if not engine.waiting or self.strain(engine) >= 3:
             engine.tested = self.now
         engine.carried.add(self.now, self.usual_work(r))
+        self.carried.setdefault(engine.role, Sum(30_000_000)).add(self.now, self.usual_work(r))
         if self.warmth(engine) < 1:
             engine.cold_sends.append((self.now, self.usual_work(r)))
         if link:
