Rates from young sums count their age; half of a straight warming line is trusted

Cause: a decaying sum that has run for 10 s was read as if it had run for ever, so budgets of young fronts were several times too small. Also guards the admission of a freshly started front. Could push a cold engine over if warming is much slower than half a straight line.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -19,10 +19,10 @@
 
 class Sum:
     """A sum that halves every `half` microseconds, brought up to date when read."""
-    __slots__ = ("half", "value", "at")
+    __slots__ = ("half", "value", "at", "since")
 
     def __init__(self, half):
-        self.half, self.value, self.at = half, 0.0, 0
+        self.half, self.value, self.at, self.since = half, 0.0, 0, None
 
     def read(self, now):
         if now > self.at:
@@ -32,6 +32,14 @@
 
     def add(self, now, amount):
         self.value = self.read(now) + amount
+        self.since = now if self.since is None else self.since
+
+    def rate(self, now):
+        """What came in a microsecond; a sum that is young holds less than one that has run for long."""
+        if self.since is None:
+            return 0.0
+        age = max(now - self.since, self.half / 8)
+        return self.read(now) * 0.693 / self.half / (1 - 0.5 ** (age / self.half))
 
 
 class Pace:
@@ -410,12 +418,13 @@
         if not engine.cold_sends:
             return True
         up = [e for e in self.engines.values() if e.role == engine.role and e.up]
-        warm = [e.carried.read(self.now) for e in up if self.warmth(e) == 1]
-        # what a warm one carries now, or, when most have restarted at once, what one carried on the whole lately;
-        # a sum that halves in H holds rate x H / ln 2. Seen loads are under capacity, which is the slack for chance
-        rate = max(sum(warm) / max(len(warm), 1) / 4, self.carried[engine.role].read(self.now) / len(up) / 30)
-        share = self.settings.get("cold_multiple", 1) * self.settings.get("cold_share", 1)
-        budget = share * rate * 0.693e-6 * window
+        warm = [e.carried.rate(self.now) for e in up if self.warmth(e) == 1]
+        # what a warm one carries now, or, when most have restarted at once, what one carried on the whole lately.
+        # Seen loads are under capacity, which is the slack for chance; and as the curve of warming is not told,
+        # half of a straight line is trusted
+        rate = max(sum(warm) / max(len(warm), 1), self.carried[engine.role].rate(self.now) / len(up))
+        share = (self.settings.get("cold_share", 1) + self.warmth(engine)) / 2
+        budget = self.settings.get("cold_multiple", 1) * share * rate * window
         return sum(work for _, work in engine.cold_sends) + self.usual_work(r) <= budget
 
     def usual_work(self, r):
@@ -491,10 +500,10 @@
         if not unread:
             return
         # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free now,
-        # against what its own answers free (a sum that halves in H holds rate x H / ln 2)
+        # against what its own answers free
         free = sum(max(self.room(e), 0) for e in self.pool(False)) / self.fronts
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ, WRITING)) - free
-        drain = self.drained.read(self.now) * 0.693 / 4_000_000
+        drain = self.drained.rate(self.now)
         # a read state that has not landed is pending at its reader too: a jammed link or full writers near it
         # show there, and its prefixes are read elsewhere until it clears
         self.parked = {}
