--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -398,8 +398,9 @@
         strains = {e.id: self.strain(e) for e in engines}
         if not strains:
             return [], strains
-        usual = median(strains.values())
-        good = [e for e in engines if strains[e.id] < 3 * max(usual, 1) or 1 / self.warmth(e) >= strains[e.id]
+        usual = max(median(strains.values()), 1)  # what all share is in the pool's pace already
+        strains = {id: strain / usual for id, strain in strains.items()}
+        good = [e for e in engines if strains[e.id] < 3 or self.warmth(e) < 1
                 or not e.waiting and self.now > e.tested + 1_000_000]
         if 2 * len(good) < len(engines):
             good = engines
