--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -527,7 +527,7 @@
             if engine and not blocked and (not engine.pending or wait <= (r.target - r.arrived) * 0.6):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
-            elif self.now + 0.5 * wait + queue > r.target:  # half: only what has hardly a chance is told to go
+            elif self.now + wait + queue > r.target:
                 self.give_up(r)
 
     def pick_reader(self, r):
