--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -89,11 +89,19 @@
         self.kept = {}          # prefix or session -> tokens that a reader probably has kept
         self.load, self.load_at, self.streams_then = None, 0, 0
         self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
+        self.failed = 0         # failures since the last answer
         self.cold_sends = []    # (time, work) of sends while it warms up
 
     def judge(self, now, ratio):
         self.late.add(now, min(ratio, 8))
         self.tries.add(now, 1)
+        self.failed = 0
+
+    def fail(self, now, weight):
+        """Whatever an engine fails at counts as an answer five times late, and failures in a row condemn it soon."""
+        row = self.failed + weight
+        self.judge(now, 5)
+        self.failed = row
 
 
 class Front:
@@ -230,9 +238,8 @@
             self.learn(f, elapsed)
             self.keep(f.engine, r)
             r.held = True
-        elif ending in ("error", "unreachable", "reset", "timed out") and not f.started or ending == "error":
-            # one measure for all that an engine fails at: counted as an answer five times later than expected
-            f.engine.judge(self.now, 5)
+        elif ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started:
+            f.engine.fail(self.now, 2 if ending == "unreachable" else 1)
         if not f.reads and ending in ("full", "done") and f.link:
             f.engine.answered = self.now
         if final:
@@ -366,6 +373,7 @@
     def strain(self, engine):
         """How many times later than its pool an engine answers; what is still out counts with its age."""
         value = (engine.late.read(self.now) + 2) / (engine.tries.read(self.now) + 2)
+        value = max(value, 2 * engine.failed)
         for f in engine.waiting.values():
             if engine.answered < f.sent:
                 value = max(value, (self.now - f.sent) / f.expected / 2)
@@ -392,7 +400,7 @@
         """Engines that may get this req: allowed by rule 2, not pushed over while cold, and not suspected.
 
         Suspicion is relative: when most look bad the cause is not the engines, and all are used. A suspected
-        engine with nothing out is tested by one req a second.
+        engine with nothing out is tested by a req a second, one in four when it goes on failing.
         """
         engines = [e for e in engines if self.may_send(r, e) and self.cold_room(e, r, engines)]
         strains = {e.id: self.strain(e) for e in engines}
@@ -401,7 +409,7 @@
         usual = max(median(strains.values()), 1)  # what all share is in the pool's pace already
         strains = {id: strain / usual for id, strain in strains.items()}
         good = [e for e in engines if strains[e.id] < 3 or self.warmth(e) < 1
-                or not e.waiting and self.now > e.tested + 1_000_000]
+                or not e.waiting and self.now > e.tested + 500_000 * min(max(e.failed, 2), 8)]
         if 2 * len(good) < len(engines):
             good = engines
         if r.banned in good and len(good) > 1:
@@ -493,7 +501,7 @@
                 # was answered. An engine that answers earlier ones is only behind, and is left alone
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
                 if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
-                    f.engine.judge(self.now, 5)
+                    f.engine.fail(self.now, 1)
                     self.cancel(f)
 
     def place_unread(self):
