Only failures that were told condemn an engine in a row

Guards against dead, unreachable and erring engines before the list tells; an engine with a few random errors is rested for a second.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -98,7 +98,8 @@
         self.failed = 0
 
     def fail(self, now, weight):
-        """Whatever an engine fails at counts as an answer five times late, and failures in a row condemn it soon."""
+        """Whatever an engine fails at counts as an answer five times late. Failures that it, or the way to it, told of
+        condemn it soon when they come in a row; silence does not, as it may only be behind."""
         row = self.failed + weight
         self.judge(now, 5)
         self.failed = row
@@ -501,7 +502,7 @@
                 # was answered. An engine that answers earlier ones is only behind, and is left alone
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
                 if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
-                    f.engine.fail(self.now, 1)
+                    f.engine.fail(self.now, 0)
                     self.cancel(f)
 
     def place_unread(self):
