--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -553,7 +553,7 @@
             # fewest pending with its own prompt counted, less what is kept: reading a beginning anew elsewhere has
             # to pay, or spilled reads jam the rest. Of those about as good, fronts agree on one by the hash
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
-            pick = least if total[least.id] < total[pick.id] else pick
+            pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
         return pick, self.pace["read"].expect(self.now, pick.pending + self.cost(pick, r)) * strains[pick.id]
 
     def place_states(self):
