--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -68,6 +68,61 @@
         sent = sum(len(rig.ask(i).all("forward")) for i in range(20))
         self.assertEqual(sent, 1)
 
+    def test_budget_survives_a_restart_of_all(self):
+        rig = Rig()
+        for i in range(100):
+            rig.ask(i, after=50_000)
+            rig.end(i, 0, "read", "r1")
+            rig.play(("first_token", (i, 1, "w1", 500)))
+            rig.end(i, 1, "done", "w1", final=True)
+        rig.play(("listed", (2, "changes", [row("r1", "rd", born=rig.now)])))
+        sent = sum(len(rig.ask(1000 + i, after=50_000).all("forward")) for i in range(10))
+        self.assertGreater(sent, 5)
+
+
+class Health(unittest.TestCase):
+    ROWS = [row("r1", "rd"), row("r2", "rd"), row("r3", "rd"), row("w1", "wr")]
+
+    def home(self, rig):
+        return rig.ask(1, session="s").all("forward")[0][1]
+
+    def test_told_failures_in_a_row_condemn(self):
+        for ending in ("unreachable", "reset", "error"):
+            with self.subTest(ending=ending):
+                rig = Rig(self.ROWS)
+                home = self.home(rig)
+                rig.end(1, 0, ending, home)
+                rig.ask(2, session="s", after=100_000)
+                if ending != "unreachable":
+                    rig.end(2, 0, ending, home)
+                self.assertNotEqual(rig.ask(3, session="s", after=100_000).all("forward")[0][1], home)
+
+    def test_silent_forward_is_cancelled_when_peers_answer(self):
+        for peer, then in ((True, [(1, 0)]), (False, [])):
+            with self.subTest(peer=peer):
+                rig = Rig(self.ROWS)
+                home = self.home(rig)
+                for i in range(2, 12):
+                    seen = rig.ask(i, session="t%d" % i, after=10_000).all("forward")
+                    if peer and seen and seen[0][1] != home:
+                        rig.end(i, 0, "read", seen[0][1])
+                cancelled = rig.play(after=800_000).all("cancel")
+                self.assertEqual([c for c in cancelled if c[0] == 1], then)
+
+    def test_states_that_have_not_landed_count_as_pending(self):
+        rig = Rig(self.ROWS, release_within=60_000_000)
+        home = self.home(rig)
+        rig.end(1, 0, "read", home)
+        for i in (2, 3):
+            rig.ask(i, session="s", prompt=20_000, after=500_000, last=60_000_000)
+            rig.end(i, 0, "read", home)
+        self.assertNotEqual(rig.ask(5, session="s", prompt=1000).all("forward")[0][1], home)
+
+    def test_no_read_that_no_writer_has_room_for(self):
+        rig = Rig([row("r1", "rd"), row("w1", "wr")], release_within=60_000_000)
+        sent = [len(rig.ask(i, prompt=30_000, session="s%d" % i, after=400_000).all("forward")) for i in range(8)]
+        self.assertLess(sum(sent), 8)
+
 
 if __name__ == "__main__":
     unittest.main()
