--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -102,7 +102,7 @@
         condemn it soon when they come in a row; silence does not, as it may only be behind."""
         row = self.failed + weight
         self.judge(now, 5)
-        self.failed = row
+        self.failed, self.tested = row, now
 
 
 class Front:
@@ -472,7 +472,7 @@
             r.stage = WRITING
         f.expected = max(f.expected / self.warmth(engine), 1)
         engine.waiting[(r.id, f.n)] = f
-        if not engine.waiting or self.strain(engine) >= 3:
+        if self.strain(engine) >= 3:
             engine.tested = self.now
         engine.carried.add(self.now, self.usual_work(r))
         self.carried.setdefault(engine.role, Sum(30_000_000)).add(self.now, self.usual_work(r))
@@ -526,23 +526,25 @@
                 self.give_up(r)
                 continue
             need = r.prompt + r.answer
-            engine, wait = self.pick_reader(r)
+            engine, alone, wait = self.pick_reader(r)
             queue = max(ahead + need, 0) / drain if drain else 0
             # what waits here can still be put in order, or told to come back; so no reader is given a queue that
             # eats up more than three fifths of the target, and reads that would wait for a writer's room beyond
             # the target aren't begun. None passes one of higher rank that waits for room: the small would
             # starve the large
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
-            if engine and not blocked and (not engine.pending or wait <= (r.target - r.arrived) * 0.6):
+            in_time = wait <= min((r.target - r.arrived) * 0.6, r.target - self.now)
+            if engine and not blocked and (not engine.pending or in_time):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
-            elif self.now + wait + queue > r.target:
+            elif self.now + alone + queue > r.target:  # too late even if the reader were free of this front's reads
                 self.give_up(r)
 
     def pick_reader(self, r):
         engines, strains = self.usable(self.pool(True), r)
         if not engines:
-            return None, self.pace["read"].expect(self.now, r.prompt)
+            fresh = self.pace["read"].expect(self.now, r.prompt)
+            return None, fresh, fresh
         # one step's worth is added so that an idle but slow reader shows
         load = {e.id: (e.pending + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
         total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
@@ -554,7 +556,9 @@
             # to pay, or spilled reads jam the rest. Of those about as good, fronts agree on one by the hash
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
             pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
-        return pick, self.pace["read"].expect(self.now, pick.pending + self.cost(pick, r)) * strains[pick.id]
+        alone, wait = (self.pace["read"].expect(self.now, pending + self.cost(pick, r)) * strains[pick.id]
+                       for pending in (0, pick.pending))
+        return pick, alone, wait
 
     def place_states(self):
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank + (r.id,))
