--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -179,7 +179,8 @@
         r.id, r.group, r.customer, r.session, r.prefix = id, g, customer, session, prefix
         r.home = prefix or session or str(id)
         r.prompt, r.shared, r.arrived, r.deadline = prompt, shared, self.now, deadline
-        r.target = self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000
+        # a client that gives up before its response target moves it forward: late is lost there
+        r.target = min(self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000, deadline)
         token = g.get("token_target") or 50_000
         # without a hint an answer takes a quarter of what it may: a ceiling is set well above the usual
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4
@@ -533,8 +534,7 @@
             # the target aren't begun. None passes one of higher rank that waits for room: the small would
             # starve the large
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
-            in_time = wait <= min((r.target - r.arrived) * 0.6, r.target - self.now)
-            if engine and not blocked and (not engine.pending or in_time):
+            if engine and not blocked and (not engine.pending or wait <= self.patience(r)):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
             elif self.now + alone + queue > r.target:  # too late even if the reader were free of this front's reads
@@ -556,9 +556,17 @@
             # to pay, or spilled reads jam the rest. Of those about as good, fronts agree on one by the hash
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
             pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
-        alone, wait = (self.pace["read"].expect(self.now, pending + self.cost(pick, r)) * strains[pick.id]
-                       for pending in (0, pick.pending))
-        return pick, alone, wait
+        def expect(engine, pending):
+            return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
+
+        if expect(pick, pick.pending) > self.patience(r):
+            # in time elsewhere goes before home: a short deadline or a long prompt ahead must not cost the req
+            quick = min(engines, key=lambda e: (expect(e, e.pending), e.id))
+            pick = quick if expect(quick, quick.pending) <= self.patience(r) else pick
+        return pick, expect(pick, 0), expect(pick, pick.pending)
+
+    def patience(self, r):
+        return min((r.target - r.arrived) * 0.6, r.target - self.now)
 
     def place_states(self):
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank + (r.id,))
