Links have health too: a silent link is left, its states are read anew elsewhere

Also: time-outs where cancelling is not allowed, suspected engines due for a test compete as if well, one subscription. Guards against cut links, partitions and engines behind one; could leave a link early in light traffic.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -67,11 +67,12 @@
 
 class Req:
     __slots__ = ("id", "group", "customer", "home", "prefix", "session", "prompt", "shared", "arrived", "target",
-                 "deadline", "answer", "stage", "reader", "clock", "used", "out", "effect", "rank", "held", "banned")
+                 "deadline", "answer", "stage", "reader", "clock", "used", "out", "effect", "rank", "held", "banned",
+                 "shunned")
 
 
 class Engine:
-    """One engine as this front knows it."""
+    """One engine as this front knows it; a link is kept the same way, as it too answers late or not at all."""
 
     def __init__(self, id):
         self.id, self.up, self.role, self.memory = id, False, "", 0
@@ -107,7 +108,7 @@
 
 class Front:
     def __init__(self, seed, settings):
-        self.seed, self.settings, self.now, self.out = seed, settings, 0, None
+        self.settings, self.now, self.out = settings, 0, None  # nothing is left to chance: the seed is not used
         get = settings.get
         self.groups = {}
         for i, group in enumerate(get("groups", ())):
@@ -142,7 +143,8 @@
 
     def listed(self, version, scope, entries):
         if scope == "failed":
-            self.ask_wait = min(max(2 * self.ask_wait, 500_000), 4_000_000)  # back off: the service is crowded
+            cap = self.settings.get("ask_within", 10_000_000) // 2
+            self.ask_wait = min(max(2 * self.ask_wait, 500_000), cap)  # back off: the service is crowded
             return
         self.ask_wait = 0
         roles = dict(zip(self.settings.get("kinds", ()), self.settings.get("role_by_kind", ())))
@@ -150,26 +152,20 @@
         named = set()
         for phase, weight, zone, id, cell, kind, born in entries:
             named.add(id)
-            old = self.engines.get(id)
+            engine = self.engines.setdefault(id, Engine(id))
             born = born or 0
-            if old is None:
-                self.engines[id] = Engine(id)
-            elif born > old.born and phase == "up":
-                old.forget()
-            engine = self.engines[id]
+            if born > engine.born and phase == "up":
+                engine.forget()
             engine.up, engine.zone, engine.cell, engine.kind, engine.born = phase == "up", zone, cell, kind, born
             engine.role, engine.memory = roles.get(kind, "both"), memory.get(kind, 0)
-        if scope != "changes":
-            for id, engine in self.engines.items():
-                if id not in named:
-                    engine.up = False
+        for id, engine in self.engines.items():
+            engine.up = engine.up and (id in named or scope == "changes")
 
     def follow_list(self):
         if self.settings.get("discovery") != "subscribe":
             return
-        # asked again at half the time in which the front must ask, and after a failure with growing waits
-        every = self.ask_wait or self.settings.get("ask_within", 10_000_000) // 2
-        if not self.asked or self.now >= self.asked + every:
+        # subscribed once, and again after a failure with growing waits, all shorter than the front's time to ask
+        if not self.asked or self.ask_wait and self.now >= self.asked + self.ask_wait:
             self.asked = self.now
             self.out.subscribe()
 
@@ -185,7 +181,7 @@
         # without a hint an answer takes a quarter of what it may: a ceiling is set well above the usual
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4
         r.stage, r.reader, r.clock, r.used, r.out, r.effect = UNREAD, None, 0, 0, {}, None
-        r.held, r.banned = False, None
+        r.held, r.banned, r.shunned = False, None, None
         worth = g.get("importance", 1) * (self.settings.get("over_share_importance", 1) if self.over_share(r) else 1)
         r.rank = (-worth, r.target)
         seen = self.mean_work.setdefault(g.get("name"), [Sum(20_000_000), Sum(20_000_000)])
@@ -210,27 +206,21 @@
             return
         f.started = True
         self.ended_waiting(f)
-        self.give_back(f)
         self.learn(f, elapsed)
         r.held = False
-        if r.stage != ENDED:
-            r.stage = STARTED
         self.live.pop(id, None)
-        for other in list(r.out.values()):
-            if other is not f:
-                self.cancel(other)
+        r.stage = max(r.stage, STARTED)
+        for other in r.out.values():
+            self.cancel(other)
 
     def outcome(self, id, n, ending, engine_id, elapsed, final, note, load):
-        engine = self.engines.get(engine_id)
-        if engine and load:
-            engine.load, engine.load_at, engine.streams_then = load, self.now, engine.streams
+        self.probed(ending, elapsed, engine_id, load)
         r = self.reqs.get(id)
         f = r and r.out.pop(n, None)
         if not f:
             return
         elapsed = elapsed or 0
         self.ended_waiting(f)
-        self.give_back(f)
         if not f.reads:
             f.engine.streams -= f.tokens
             self.drained.add(self.now, f.tokens if f.started else 0)
@@ -246,31 +236,29 @@
             f.engine.answered = self.now
         if final:
             self.end(r)
-        if r.stage == ENDED or r.stage == STARTED:
-            if r.held and not r.out:
-                self.let_go(r)
-            if not r.out and r.stage == ENDED:
-                del self.reqs[id]
+        if r.stage == ENDED:
+            self.clear(r)
+        if r.stage in (STARTED, ENDED):
             return
         if ending == "read":
             r.stage, r.reader, r.clock = READ, f.engine, self.now
         elif f.reads:
             r.stage, r.banned = UNREAD, f.engine
         else:
-            if ending == "full" and note == 1:
-                r.held = False
+            r.held = r.held and not (ending == "full" and note == 1)
             r.stage, r.clock, r.banned = READ if r.held else UNREAD, self.now, f.engine
         if ending not in NEVER_RAN and not f.reads and r.group.get("effect") == "non-replayable":
             self.give_up(r)
 
-    def place(self, id, n, engine, held, level):
-        pass  # places are not held ahead
+    def ignored(self, *_):
+        """Places are not held ahead, and fronts decide alone."""
+
+    place = message = ignored
 
     def gone(self, id):
-        r = self.reqs.get(id)
-        if r and r.stage != ENDED:
-            self.end(r)
-            self.clear(r)
+        if id in self.reqs:
+            self.end(self.reqs[id])
+            self.clear(self.reqs[id])
 
     def timer(self, mark):
         if mark == self.marks:
@@ -281,27 +269,23 @@
         if engine and load:
             engine.load, engine.load_at, engine.streams_then = load, self.now, engine.streams
 
-    def message(self, sender, content):
-        pass  # fronts decide alone
-
     # ---- book-keeping ----
 
     def ended_waiting(self, f):
+        """Credit comes back here, exactly once: with the first token or the forward's end, if not by the lapse."""
         if f.engine.waiting.pop((f.req.id, f.n), None):
             f.engine.pending -= f.tokens if f.reads else 0
-
-    def give_back(self, f):
-        """Credit comes back exactly once: with the first token, the forward's end or the lapse."""
-        if f.link:
-            self.links[f.link].pop((f.req.id, f.n), None)
+            if f.link:
+                del f.link.waiting[(f.req.id, f.n)]
 
     def learn(self, f, elapsed):
-        f.engine.answered = self.now
-        f.engine.served_to = max(f.engine.served_to, f.sent)
-        if not f.roomy:
-            return  # a wait for memory says nothing of how fast the engine is
-        f.engine.judge(self.now, elapsed / max(f.expected, 1))
-        self.pace["read" if f.reads else "write"].add(self.now, elapsed, f.tokens)
+        for way in (f.engine, f.link):
+            if way:
+                way.answered, way.served_to = self.now, max(way.served_to, f.sent)
+                if f.roomy:  # a wait for memory says nothing of how fast the engine is
+                    way.judge(self.now, elapsed / f.expected)
+        if f.roomy:
+            self.pace["read" if f.reads else "write"].add(self.now, elapsed, f.tokens)
 
     def keep(self, engine, r):
         kept = engine.kept
@@ -330,7 +314,8 @@
         self.live.pop(r.id, None)
 
     def clear(self, r):
-        for f in list(r.out.values()):
+        """Cancels what is still out; the state is let go and the req forgotten with its last outcome."""
+        for f in r.out.values():
             self.cancel(f)
         if r.held:
             self.let_go(r)
@@ -346,10 +331,8 @@
     def may_send(self, r, engine):
         """Rule 2: where a further forward of this req may go."""
         effect = r.group.get("effect")
-        if effect == "replayable":
-            return True
         ran = r.effect or next((f for f in r.out.values() if not f.reads), None)
-        if ran is None:
+        if effect == "replayable" or ran is None:
             return True
         if effect != "keyed" or self.now >= ran.sent + r.group.get("repeat_window", 0) - 2 * self.round_time:
             return False
@@ -361,11 +344,9 @@
         """The final answer, at once."""
         self.end(r)
         if self.harmless(r):
-            wait = 0
-            if self.settings.get("may_advise"):
-                # half the target: by then part of what waits has gone, and an answer in time is still possible
-                wait = min(int(r.group.get("target", 0)) // 2, self.settings.get("advice_cap", 0))
-            self.out.push_back(r.id, wait)
+            # half the target: by then part of what waits has gone, and an answer in time is still possible
+            wait = min(r.group.get("target", 0) // 2, self.settings.get("advice_cap", 0))
+            self.out.push_back(r.id, wait if self.settings.get("may_advise") else 0)
         else:
             self.out.abort(r.id)
         self.clear(r)
@@ -402,7 +383,7 @@
         """Engines that may get this req: allowed by rule 2, not pushed over while cold, and not suspected.
 
         Suspicion is relative: when most look bad the cause is not the engines, and all are used. A suspected
-        engine with nothing out is tested by a req a second, one in four when it goes on failing.
+        engine with nothing out is tested by a req in two seconds, in four when it goes on failing.
         """
         engines = [e for e in engines if self.may_send(r, e) and self.cold_room(e, r, engines)]
         strains = {e.id: self.strain(e) for e in engines}
@@ -410,13 +391,16 @@
             return [], strains
         usual = max(median(strains.values()), 1)  # what all share is in the pool's pace already
         strains = {id: strain / usual for id, strain in strains.items()}
-        good = [e for e in engines if strains[e.id] < 3 or self.warmth(e) < 1
-                or not e.waiting and self.now > e.tested + 500_000 * min(max(e.failed, 2), 8)]
+        good = [e for e in engines if strains[e.id] < 3 or self.warmth(e) < 1 or self.due_test(e)]
+        for e in good:  # one that is due for a test competes as if it were well
+            strains[e.id] = 1 if strains[e.id] >= 3 and self.warmth(e) == 1 else strains[e.id]
         if 2 * len(good) < len(engines):
             good = engines
-        if r.banned in good and len(good) > 1:
-            good = [e for e in good if e is not r.banned]
-        return good, strains
+        other = [e for e in good if e is not r.banned and e.cell != r.shunned]
+        return other or good, strains
+
+    def due_test(self, way):
+        return not way.waiting and self.now > way.tested + 500_000 * min(max(way.failed, 4), 8)
 
     def cold_room(self, engine, r, peers):
         """Rule 4: this front's part of what an engine that warms up can take within one window."""
@@ -446,8 +430,7 @@
         """Tokens of memory that a writer probably has free: from its report, blended by age into this front's view."""
         if not engine.memory:
             return float("inf")
-        mine = engine.streams / engine.memory
-        share = mine * self.fronts
+        share = engine.streams / engine.memory * self.fronts
         told = (engine.load or {}).get("memory_share")
         if told is not None:
             trust = exp(-(self.now - engine.load_at) / 2e6)  # reports are a good second old on the whole
@@ -480,8 +463,18 @@
         if self.warmth(engine) < 1:
             engine.cold_sends.append((self.now, self.usual_work(r)))
         if link:
-            self.links.setdefault(link, {})[(r.id, f.n)] = (r.prompt, self.now, engine)
-        self.out.forward(r.id, engine.id, 0)
+            link.waiting[(r.id, f.n)] = f
+            link.tested = self.now
+        # without the right to cancel, the patience of look_after_forwards goes along as a time-out
+        last = r.used >= self.cap or self.settings.get("may_cancel") or not (reads or self.replayable(r))
+        self.out.forward(r.id, engine.id, 0 if last else int(self.silence(f)))
+
+    def replayable(self, r):
+        return r.group.get("effect") == "replayable"
+
+    def silence(self, f):
+        # half the target leaves time for another try within it; less would read anew what merely queues
+        return max(5 * f.expected, (f.req.target - f.req.arrived) / 2)
 
     def look_after_forwards(self):
         """Cancels what an engine sits on, and answers what can no longer be served."""
@@ -492,18 +485,16 @@
                 continue
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
-            for f in list(r.out.values()):
-                if not f.reads and r.group.get("effect") != "replayable" or f.cancelled:
-                    continue
-                # half the target leaves time for another try within it; less would read anew what merely queues
-                patience = max(5 * f.expected, (r.target - r.arrived) / 2)
-                if self.now - f.sent < patience:
+            for f in r.out.values():
+                if not f.reads and not self.replayable(r) or f.cancelled or self.now - f.sent < self.silence(f):
                     continue
                 # hung: silent since then, while peers answered. Lost on the way or in the engine: one sent later
                 # was answered. An engine that answers earlier ones is only behind, and is left alone
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
                 if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
-                    f.engine.fail(self.now, 0)
+                    for way in (f.engine, f.link):
+                        if way and (way.answered < f.sent or way is f.engine and way.served_to > f.sent):
+                            way.fail(self.now, 0)
                     self.cancel(f)
 
     def place_unread(self):
@@ -543,8 +534,7 @@
     def pick_reader(self, r):
         engines, strains = self.usable(self.pool(True), r)
         if not engines:
-            fresh = self.pace["read"].expect(self.now, r.prompt)
-            return None, fresh, fresh
+            return None, self.pace["read"].expect(self.now, r.prompt), 0
         # one step's worth is added so that an idle but slow reader shows
         load = {e.id: (e.pending + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
         total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
@@ -556,6 +546,7 @@
             # to pay, or spilled reads jam the rest. Of those about as good, fronts agree on one by the hash
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
             pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
+
         def expect(engine, pending):
             return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
 
@@ -577,15 +568,21 @@
                 continue
             last = self.now >= self.release_at(r)
             engines, strains = self.usable(self.pool(False), r)
-            choice = self.pick_writer(r, [e for e in engines if self.has_room(e, r) and self.has_credit(r, e)], strains)
+            # a link on which nothing starts while writers answer others is left until a test of it is due
+            engines = [e for e in engines if self.strain(self.link(r, e)) < 3 or self.due_test(self.link(r, e))]
+            paid = [e for e in engines if self.has_credit(r, e)]
+            choice = self.pick_writer(r, [e for e in paid if self.has_room(e, r)], strains)
             if choice:
                 self.send(r, choice, False, self.link(r, choice))
                 continue
-            choice = self.pick_writer(r, [e for e in engines if self.has_credit(r, e)] or engines, strains)
+            choice = self.pick_writer(r, paid or engines, strains)
             if not last and choice:
                 self.promised[choice.id] = self.promised.get(choice.id, 0) + r.prompt
             elif last and choice:
                 self.send(r, choice, False, self.link(r, choice), roomy=False)
+            elif last and r.used + 2 <= self.cap and self.now < r.target:
+                self.let_go(r)  # no way from here: read anew in another cell
+                r.stage, r.shunned = UNREAD, r.reader.cell
             elif last:
                 self.give_up(r)
 
@@ -600,21 +597,18 @@
         return r.clock + self.release_within - 2 * self.round_time - self.release_within // 10
 
     def link(self, r, engine):
-        return (r.reader.cell, "port") if r.reader.cell == engine.cell else (r.reader.cell, "out")
+        key = (r.reader.cell, "port" if r.reader.cell == engine.cell else "out")
+        return self.links.setdefault(key, Engine(key))
 
     def has_credit(self, r, engine):
-        spent = self.links.setdefault(self.link(r, engine), {})
-        for key in [key for key, (_, sent, _) in spent.items() if self.now - sent > 2_000_000]:
-            del spent[key]  # the lapse
-        used = sum(tokens for tokens, _, _ in spent.values())
+        # the design's window, and its lapse of two seconds
+        used = sum(f.req.prompt for f in self.link(r, engine).waiting.values() if self.now - f.sent < 2_000_000)
         return not used or used + r.prompt <= 32_000  # a prompt larger than the window crosses an idle link
 
     def pick_writer(self, r, able, strains):
         if not able:
             return None
-        load = {}
-        for e in able:
-            load[e.id] = (1 - self.room(e) / e.memory if e.memory else e.streams / 1e6) * strains[e.id]
+        load = {e.id: (1 - self.room(e) / e.memory if e.memory else e.streams / 1e6) * strains[e.id] for e in able}
         best = min(able, key=lambda e: (load[e.id], e.id))
         for near in ([e for e in able if e.cell == r.reader.cell], [e for e in able if e.zone == r.reader.zone]):
             if near:
@@ -624,16 +618,12 @@
         return best
 
     def set_wake(self):
-        due = None
-        for r in self.live.values():
-            # looked after every 20 ms, and on time for the release and for the answer that is owed
-            at = min(self.answer_by(r), self.now + 20_000)
-            if r.stage == READ:
-                at = min(at, self.release_at(r))
-            due = at if due is None or at < due else due
-        if self.settings.get("discovery") == "subscribe":
-            due = min(due or self.now + 500_000, self.now + 500_000)
-        if due is not None and (not self.wake_at or due < self.wake_at or self.wake_at <= self.now):
-            due = max(due, self.now + 1)
+        # looked after every 20 ms, and on time for the release and for the answer that is owed
+        times = [min(self.answer_by(r), self.release_at(r) if r.stage == READ else self.now + 20_000, self.now + 20_000)
+                 for r in self.live.values()]
+        if self.ask_wait:
+            times.append(self.asked + self.ask_wait)
+        due = max(min(times, default=0), self.now + 1)
+        if times and (due < self.wake_at or self.wake_at <= self.now):
             self.marks, self.wake_at = self.marks + 1, due
             self.out.wake(self.marks, due - self.now)
