--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -1,11 +1,10 @@
-"""All decisions of martenrouter: which engine reads a req, which one writes it, and what is done when that fails.
+"""All decisions of martenrouter: who reads a req, who writes it, and what is done when that fails.
 
-How it is called: `Front(seed, settings)` is one router instance; it shares nothing with others. Once a round the
-caller runs `turn(now, inbox, out)`: `inbox` holds (call, arguments) pairs in order of arrival, the calls being the
-public handlers below (`listed`, `arrived`, `first_token`, `outcome`, `place`, `gone`, `timer`, `probed`, `message`),
-and `out` is the writer that takes decisions at once (`forward`, `push_back`, `abort`, `cancel`, `let_go`, `wake`,
-`subscribe`, `fetch_list`, ...). Times are whole microseconds, ids are passed back as they came, and `settings` is a
-plain map of names to values, of which unknown names are passed over. The interface stands in martenrouter/drill.
+How it is called: `Front(seed, settings)` is one router instance; it shares nothing with others. Once a round
+`turn(now, inbox, out)` is run: `inbox` holds (call, arguments) pairs in order of arrival, the calls being the
+handlers under "what comes in"; `out` is the writer that takes decisions at once (`forward`, `push_back`,
+`abort`, `cancel`, `let_go`, `wake`, `subscribe`). Times are whole microseconds, ids go back as they came, and
+`settings` is a plain map of names to values. The interface stands in martenrouter/drill/codec.py.
 
 Life of a req: unread -> reading -> read (its state waits at the reader) -> writing -> started -> ended.
 """
@@ -61,23 +60,19 @@
 
 
 class Forward:
-    __slots__ = ("req", "n", "engine", "sent", "tokens", "expected", "reads", "link", "started", "cancelled",
-                 "roomy")
+    """One try: req, n, engine, link, sent, tokens, expected (time), reads, roomy, started, cancelled."""
 
 
 class Req:
-    __slots__ = ("id", "group", "customer", "home", "prefix", "session", "prompt", "shared", "arrived", "target",
-                 "deadline", "answer", "stage", "reader", "clock", "used", "out", "effect", "rank", "held", "banned",
-                 "shunned")
+    """Set up by `arrived`; `out` holds its forwards that have not ended, `clock` starts the release limit."""
 
 
 class Engine:
-    """One engine as this front knows it; a link is kept the same way, as it too answers late or not at all."""
+    """One engine as this front knows it; a link is kept alike, as it too answers late or not at all."""
 
     def __init__(self, id):
         self.id, self.up, self.role, self.memory = id, False, "", 0
-        self.zone = self.cell = self.kind = None
-        self.born = 0
+        self.zone, self.cell, self.born = None, None, 0
         self.waiting = {}       # forwards out that have neither started nor ended, oldest first
         self.pending = 0        # prompt tokens of those
         self.streams = 0        # tokens of this front's forwards out at a writer, started or not
@@ -99,8 +94,8 @@
         self.failed = 0
 
     def fail(self, now, weight):
-        """Whatever an engine fails at counts as an answer five times late. Failures that it, or the way to it, told of
-        condemn it soon when they come in a row; silence does not, as it may only be behind."""
+        """Whatever fails counts as an answer five times late. Failures that were told condemn soon when they
+        come in a row; silence does not, as the engine may only be behind."""
         row = self.failed + weight
         self.judge(now, 5)
         self.failed, self.tested = row, now
@@ -108,7 +103,7 @@
 
 class Front:
     def __init__(self, seed, settings):
-        self.settings, self.now, self.out = settings, 0, None  # nothing is left to chance: the seed is not used
+        self.settings, self.now, self.out = settings, 0, None  # no chance: the seed is not used
         get = settings.get
         self.groups = {}
         for i, group in enumerate(get("groups", ())):
@@ -156,7 +151,7 @@
             born = born or 0
             if born > engine.born and phase == "up":
                 engine.forget()
-            engine.up, engine.zone, engine.cell, engine.kind, engine.born = phase == "up", zone, cell, kind, born
+            engine.up, engine.zone, engine.cell, engine.born = phase == "up", zone, cell, born
             engine.role, engine.memory = roles.get(kind, "both"), memory.get(kind, 0)
         for id, engine in self.engines.items():
             engine.up = engine.up and (id in named or scope == "changes")
@@ -164,7 +159,7 @@
     def follow_list(self):
         if self.settings.get("discovery") != "subscribe":
             return
-        # subscribed once, and again after a failure with growing waits, all shorter than the front's time to ask
+        # subscribed once, and again after a failure with growing waits, shorter than the front's time to ask
         if not self.asked or self.ask_wait and self.now >= self.asked + self.ask_wait:
             self.asked = self.now
             self.out.subscribe()
@@ -176,14 +171,15 @@
         r.home = prefix or session or str(id)
         r.prompt, r.shared, r.arrived, r.deadline = prompt, shared, self.now, deadline
         # a client that gives up before its response target moves it forward: late is lost there
-        r.target = min(self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000, deadline)
+        target = self.now + g.get("target", 0) + g.get("target_per_1000_prompt", 0) * prompt / 1000
+        r.target = min(target, deadline)
         token = g.get("token_target") or 50_000
         # without a hint an answer takes a quarter of what it may: a ceiling is set well above the usual
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4
         r.stage, r.reader, r.clock, r.used, r.out, r.effect = UNREAD, None, 0, 0, {}, None
         r.held, r.banned, r.shunned = False, None, None
-        worth = g.get("importance", 1) * (self.settings.get("over_share_importance", 1) if self.over_share(r) else 1)
-        r.rank = (-worth, r.target)
+        part = self.settings.get("over_share_importance", 1) if self.over_share(r) else 1
+        r.rank = (-part * g.get("importance", 1), r.target, id)
         seen = self.mean_work.setdefault(g.get("name"), [Sum(20_000_000), Sum(20_000_000)])
         seen[0].add(self.now, prompt)
         seen[1].add(self.now, 1)
@@ -272,7 +268,7 @@
     # ---- book-keeping ----
 
     def ended_waiting(self, f):
-        """Credit comes back here, exactly once: with the first token or the forward's end, if not by the lapse."""
+        """Credit comes back here, exactly once: with the first token or the end, if not by the lapse."""
         if f.engine.waiting.pop((f.req.id, f.n), None):
             f.engine.pending -= f.tokens if f.reads else 0
             if f.link:
@@ -414,9 +410,9 @@
             return True
         up = [e for e in self.engines.values() if e.role == engine.role and e.up]
         warm = [e.carried.rate(self.now) for e in up if self.warmth(e) == 1]
-        # what a warm one carries now, or, when most have restarted at once, what one carried on the whole lately.
-        # Seen loads are under capacity, which is the slack for chance; and as the curve of warming is not told,
-        # half of a straight line is trusted
+        # what a warm one carries now, or, when most have restarted at once, what one carried lately. Seen
+        # loads are under capacity, which is the slack for chance; the curve of warming is not told, so half
+        # of a straight line is trusted
         rate = max(sum(warm) / max(len(warm), 1), self.carried[engine.role].rate(self.now) / len(up))
         share = (self.settings.get("cold_share", 1) + self.warmth(engine)) / 2
         budget = self.settings.get("cold_multiple", 1) * share * rate * window
@@ -427,14 +423,14 @@
         return total.read(self.now) / max(count.read(self.now), 1e-9)
 
     def room(self, engine):
-        """Tokens of memory that a writer probably has free: from its report, blended by age into this front's view."""
+        """Tokens of memory a writer probably has free: its report, blended by age into this front's view."""
         if not engine.memory:
             return float("inf")
         share = engine.streams / engine.memory * self.fronts
         told = (engine.load or {}).get("memory_share")
         if told is not None:
             trust = exp(-(self.now - engine.load_at) / 2e6)  # reports are a good second old on the whole
-            share = trust * (told + (engine.streams - engine.streams_then) / engine.memory) + (1 - trust) * share
+            share += trust * (told + (engine.streams - engine.streams_then) / engine.memory - share)
         return (1 - share) * engine.memory
 
     # ---- forwards ----
@@ -479,17 +475,18 @@
     def look_after_forwards(self):
         """Cancels what an engine sits on, and answers what can no longer be served."""
         for r in list(self.live.values()):
-            last = next(reversed(r.out.values()), None)
-            if self.now >= self.answer_by(r) or last and not last.roomy and self.now > r.target and self.harmless(r):
-                self.give_up(r)  # also what joined a writer's queue for want of room and missed its target there
+            # also what joined a writer's queue for want of room and missed its target there
+            missed = self.now > r.target and any(not f.roomy for f in r.out.values()) and self.harmless(r)
+            if self.now >= self.answer_by(r) or missed:
+                self.give_up(r)
                 continue
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
             for f in r.out.values():
-                if not f.reads and not self.replayable(r) or f.cancelled or self.now - f.sent < self.silence(f):
+                if not (f.reads or self.replayable(r)) or f.cancelled or self.now - f.sent < self.silence(f):
                     continue
-                # hung: silent since then, while peers answered. Lost on the way or in the engine: one sent later
-                # was answered. An engine that answers earlier ones is only behind, and is left alone
+                # hung: silent since then, while peers answered. Lost on the way or in the engine: one sent
+                # later was answered. An engine that answers earlier ones is only behind, and is left alone
                 peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
                 if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
                     for way in (f.engine, f.link):
@@ -498,13 +495,13 @@
                     self.cancel(f)
 
     def place_unread(self):
-        unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank + (r.id,))
+        unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank)
         if not unread:
             return
-        # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free now,
-        # against what its own answers free
+        # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free
+        # now, against what its own answers free
         free = sum(max(self.room(e), 0) for e in self.pool(False)) / self.fronts
-        ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage in (READING, READ, WRITING)) - free
+        ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage != UNREAD) - free
         drain = self.drained.rate(self.now)
         # a read state that has not landed is pending at its reader too: a jammed link or full writers near it
         # show there, and its prefixes are read elsewhere until it clears
@@ -520,15 +517,14 @@
             need = r.prompt + r.answer
             engine, alone, wait = self.pick_reader(r)
             queue = max(ahead + need, 0) / drain if drain else 0
-            # what waits here can still be put in order, or told to come back; so no reader is given a queue that
-            # eats up more than three fifths of the target, and reads that would wait for a writer's room beyond
-            # the target aren't begun. None passes one of higher rank that waits for room: the small would
-            # starve the large
+            # what waits here can still be put in order, or told to come back; so no reader is given a queue
+            # that eats up three fifths of the target, and reads that would wait for a writer's room beyond
+            # that aren't begun. None passes one of higher rank: the small would starve the large
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
             if engine and not blocked and (not engine.pending or wait <= self.patience(r)):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
-            elif self.now + alone + queue > r.target:  # too late even if the reader were free of this front's reads
+            elif self.now + alone + queue > r.target:  # too late even with none of ours before it there
                 self.give_up(r)
 
     def pick_reader(self, r):
@@ -540,10 +536,10 @@
         total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
         rank = {e.id: crc32(("%s %s" % (r.home, e.id)).encode()) for e in engines}
         pick = max(engines, key=lambda e: (rank[e.id], e.id))
-        # clearly over: twice the median and this front's part of a step more, as the other fronts send there too
+        # clearly over: twice the median and this front's part of a step more, as other fronts send there too
         if load[pick.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
-            # fewest pending with its own prompt counted, less what is kept: reading a beginning anew elsewhere has
-            # to pay, or spilled reads jam the rest. Of those about as good, fronts agree on one by the hash
+            # fewest pending with its own prompt counted, less what is kept: reading a beginning anew has to
+            # pay by two steps, or spilled reads jam the rest. Of those about as good, the hash decides
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
             pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
 
@@ -551,7 +547,7 @@
             return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
 
         if expect(pick, pick.pending) > self.patience(r):
-            # in time elsewhere goes before home: a short deadline or a long prompt ahead must not cost the req
+            # in time elsewhere goes before home: a short deadline or a long prompt ahead mustn't cost the req
             quick = min(engines, key=lambda e: (expect(e, e.pending), e.id))
             pick = quick if expect(quick, quick.pending) <= self.patience(r) else pick
         return pick, expect(pick, 0), expect(pick, pick.pending)
@@ -560,7 +556,7 @@
         return min((r.target - r.arrived) * 0.6, r.target - self.now)
 
     def place_states(self):
-        waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank + (r.id,))
+        waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank)
         self.promised = {}  # room that waits for a state of higher rank
         for r in waiting:
             if r.used >= self.cap:
@@ -569,7 +565,8 @@
             last = self.now >= self.release_at(r)
             engines, strains = self.usable(self.pool(False), r)
             # a link on which nothing starts while writers answer others is left until a test of it is due
-            engines = [e for e in engines if self.strain(self.link(r, e)) < 3 or self.due_test(self.link(r, e))]
+            ways = [(e, self.link(r, e)) for e in engines]
+            engines = [e for e, link in ways if self.strain(link) < 3 or self.due_test(link)]
             paid = [e for e in engines if self.has_credit(r, e)]
             choice = self.pick_writer(r, [e for e in paid if self.has_room(e, r)], strains)
             if choice:
@@ -602,25 +599,27 @@
 
     def has_credit(self, r, engine):
         # the design's window, and its lapse of two seconds
-        used = sum(f.req.prompt for f in self.link(r, engine).waiting.values() if self.now - f.sent < 2_000_000)
+        out = self.link(r, engine).waiting.values()
+        used = sum(f.req.prompt for f in out if self.now - f.sent < 2_000_000)
         return not used or used + r.prompt <= 32_000  # a prompt larger than the window crosses an idle link
 
     def pick_writer(self, r, able, strains):
         if not able:
             return None
-        load = {e.id: (1 - self.room(e) / e.memory if e.memory else e.streams / 1e6) * strains[e.id] for e in able}
-        best = min(able, key=lambda e: (load[e.id], e.id))
-        for near in ([e for e in able if e.cell == r.reader.cell], [e for e in able if e.zone == r.reader.zone]):
-            if near:
-                pick = min(near, key=lambda e: (load[e.id], e.id))
-                if load[pick.id] <= load[best.id] + 0.15:  # clearly busier: by more than a seventh of its memory
-                    return pick
-        return best
+        load = {}
+        for e in able:
+            load[e.id] = (1 - self.room(e) / e.memory if e.memory else e.streams / 1e6) * strains[e.id]
+        least = min(load.values())
+        # clearly busier: by more than a seventh of its memory
+        near = [e for e in able if load[e.id] <= least + 0.15]
+        near = ([e for e in near if e.cell == r.reader.cell] or [e for e in near if e.zone == r.reader.zone]
+                or [e for e in able if load[e.id] == least])
+        return min(near, key=lambda e: (load[e.id], e.id))
 
     def set_wake(self):
         # looked after every 20 ms, and on time for the release and for the answer that is owed
-        times = [min(self.answer_by(r), self.release_at(r) if r.stage == READ else self.now + 20_000, self.now + 20_000)
-                 for r in self.live.values()]
+        times = [min(self.answer_by(r), self.now + 20_000) for r in self.live.values()]
+        times += [self.release_at(r) for r in self.live.values() if r.stage == READ]
         if self.ask_wait:
             times.append(self.asked + self.ask_wait)
         due = max(min(times, default=0), self.now + 1)
