Refusals as full count as failures that were told

Cause: an engine that drains before the list tells refuses at once and looks idle, so it drew thousands of forwards (told from overload by 2,464 refusals in 5 s at few engines while others answered). Guards against any engine that refuses quickly; under overload most are marked, and then all are used.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -226,9 +226,11 @@
             self.learn(f, elapsed)
             self.keep(f.engine, r)
             r.held = True
-        elif ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started:
+        elif (ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started
+              or ending == "full" and note != 1):
+            # full too: one that drains before the list tells it refuses at once, and looks idle ever after
             f.engine.fail(self.now, 2 if ending == "unreachable" else 1)
-        if not f.reads and ending in ("full", "done") and f.link:
+        if ending in ("full", "done"):
             f.engine.answered = self.now
         if final:
             self.end(r)
