A sixteenth of a writer's memory counts as noise of the reports, not as room

Cause: in sustained overload the noise of eight reports, cut off at zero, looked like room, and reqs were let in that came just late (first tokens of 1.06 s for a target of 1.1 s).

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -119,7 +119,6 @@
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.pace = {"read": Pace(), "write": Pace()}
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
-        self.landing = Sum(2_000_000), Sum(2_000_000)  # time and number of first tokens, full writers' too
         self.mean_work, self.buckets, self.carried = {}, {}, {}
         self.parked, self.promised = {}, {}
         self.marks, self.wake_at = 0, 0
@@ -283,9 +282,6 @@
                 way.answered, way.served_to = self.now, max(way.served_to, f.sent)
                 if f.roomy:  # a wait for memory says nothing of how fast the engine is
                     way.judge(self.now, elapsed / f.expected)
-        if f.link:
-            self.landing[0].add(self.now, elapsed)
-            self.landing[1].add(self.now, 1)
         if f.roomy:
             self.pace["read" if f.reads else "write"].add(self.now, elapsed, f.tokens)
 
@@ -505,11 +501,10 @@
         if not unread:
             return
         # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free
-        # now, against what its own answers free
-        free = sum(max(self.room(e), 0) for e in self.pool(False)) / self.fronts
+        # now, against what its own answers free; a sixteenth of each memory is no room but noise of the reports
+        free = sum(max(self.room(e) - e.memory / 16, 0) for e in self.pool(False)) / self.fronts
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage != UNREAD) - free
         drain = self.drained.rate(self.now)
-        landing = self.landing[0].read(self.now) / (self.landing[1].read(self.now) + 1)
         # a read state that has not landed is pending at its reader too: a jammed link or full writers near it
         # show there, and its prefixes are read elsewhere until it clears
         self.parked = {}
@@ -523,8 +518,7 @@
                 continue
             need = r.prompt + r.answer
             engine, alone, wait = self.pick_reader(r)
-            # with the writers full, what landed lately took at least so long, whatever the tokens say
-            queue = max((ahead + need) / drain, landing) if drain and ahead + need > 0 else 0
+            queue = max(ahead + need, 0) / drain if drain else 0
             # what waits here can still be put in order, or told to come back; so no reader is given a queue
             # that eats up three fifths of the target, and reads that would wait for a writer's room beyond
             # that aren't begun. None passes one of higher rank: the small would starve the large
