--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -58,6 +58,37 @@
                 else:
                     self.assertEqual([f for f in seen.all("forward") if f[1] == "w2"], [])
 
+    def test_a_pushback_promises_no_more_than_is_known(self):
+        for effect, stage, then in (("replayable", "writing", "push_back"), ("non-replayable", "writing", "abort"),
+                                    ("non-replayable", "reading", "abort"), ("non-replayable", "read", "push_back")):
+            with self.subTest(effect=effect, stage=stage):
+                rows = [row("r1", "rd")] + ([row("w1", "wr")] if stage == "writing" else [])
+                rig = Rig(rows, groups=[{"name": "chat", "effect": effect, "target": 1_000_000}])
+                rig.ask(1, last=100_000)
+                if stage != "reading":
+                    rig.end(1, 0, "read", "r1")
+                seen = rig.play(after=95_000)
+                self.assertEqual([d[0] for d in seen if d[0] in ("push_back", "abort")], [then])
+
+    def test_mixed_engines_read_for_themselves(self):
+        rig = Rig([row("m1", "mix"), row("m2", "mix")], kinds=["mix"], role_by_kind=["both"], memory_by_kind=[200_000])
+        sent = [rig.ask(i, session="s", prompt=9000).all("forward")[0][1] for i in range(4)]
+        self.assertEqual(set(sent), {"m1", "m2"})
+
+    def test_list_changes(self):
+        gone, whole = row("r1", "rd", phase="gone"), [row("w1", "wr")]
+        for scope, rows in (("changes", [gone]), ("whole", whole), ("whole", [])):
+            with self.subTest(scope=scope, rows=rows):
+                rig = Rig()
+                rig.play(("listed", (2, scope, rows)))
+                self.assertEqual(rig.ask(1).all("forward"), [])
+
+    def test_subscribes_and_asks_again_after_a_failure(self):
+        rig = Rig([], discovery="subscribe")
+        self.assertEqual(rig.play(after=9_000_000).all("subscribe"), [])
+        rig.play(("listed", (0, "failed", [])))
+        self.assertEqual(len(rig.play(after=600_000).all("subscribe")), 1)
+
     def test_nothing_new_to_a_draining_engine(self):
         rig = Rig()
         rig.play(("listed", (2, "changes", [row("r1", "rd", phase="draining")])))
@@ -118,6 +149,30 @@
             rig.end(i, 0, "read", home)
         self.assertNotEqual(rig.ask(5, session="s", prompt=1000).all("forward")[0][1], home)
 
+    def test_refusals_as_full_condemn(self):
+        rig = Rig(self.ROWS)
+        home = self.home(rig)
+        rig.end(1, 0, "full", home)
+        rig.ask(2, session="s", after=100_000)
+        rig.end(2, 0, "full", home)
+        self.assertNotEqual(rig.ask(3, session="s", after=100_000).all("forward")[0][1], home)
+
+    def test_a_silent_link_is_left(self):
+        rig = Rig([row("r1", "rd"), row("r2", "rd", cell=1), row("w1", "wr", cell=1), row("w2", "wr", cell=1)])
+        for i in range(4):
+            rig.ask(i, session="a", after=1_000)
+        homes = {i: f.engine.id for i, r in rig.front.live.items() for f in r.out.values()}
+        for i, home in homes.items():
+            rig.end(i, 0, "read", home)
+        silent = [i for i, home in homes.items() if home == "r1"]
+        for i, home in homes.items():
+            if home == "r2":
+                f = next(iter(rig.front.reqs[i].out.values()))
+                rig.play(("first_token", (i, f.n, f.engine.id, 500)))
+        rig.play(after=600_000)
+        link = rig.front.links.get((0, "out"))
+        self.assertTrue(not silent or rig.front.strain(link) >= 3)
+
     def test_no_read_that_no_writer_has_room_for(self):
         rig = Rig([row("r1", "rd"), row("w1", "wr")], release_within=60_000_000)
         sent = [len(rig.ask(i, prompt=30_000, session="s%d" % i, after=400_000).all("forward")) for i in range(8)]
