A majority that told of its failing stays out; reads in flight count before a pushback

Also rule 2: a non-replayable req whose read is still out is aborted, not pushed back; mixed engines that read for themselves count what they read as pending.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -60,7 +60,7 @@
 
 
 class Forward:
-    """One try: req, n, engine, link, sent, tokens, expected (time), reads, roomy, started, cancelled."""
+    """One try: req, n, engine, link, sent, tokens, cost, expected, reads, roomy, started, cancelled."""
 
 
 class Req:
@@ -272,7 +272,7 @@
     def ended_waiting(self, f):
         """Credit comes back here, exactly once: with the first token or the end, if not by the lapse."""
         if f.engine.waiting.pop((f.req.id, f.n), None):
-            f.engine.pending -= f.tokens if f.reads else 0
+            f.engine.pending -= f.cost
             if f.link:
                 del f.link.waiting[(f.req.id, f.n)]
 
@@ -323,13 +323,13 @@
     def harmless(self, r):
         """Whether a retry by the client is harmless: all that a pushback promises."""
         effect = r.group.get("effect")
-        ran = r.effect is not None or any(not f.reads for f in r.out.values())
+        ran = r.effect or r.out  # a read counts too while it is out
         return effect == "replayable" or not ran or effect == "keyed" and r.group.get("repeat_scope") == "all"
 
     def may_send(self, r, engine):
         """Rule 2: where a further forward of this req may go."""
         effect = r.group.get("effect")
-        ran = r.effect or next((f for f in r.out.values() if not f.reads), None)
+        ran = r.effect or next(iter(r.out.values()), None)
         if effect == "replayable" or ran is None:
             return True
         if effect != "keyed" or self.now >= ran.sent + r.group.get("repeat_window", 0) - 2 * self.round_time:
@@ -393,7 +393,8 @@
         for e in good:  # one that is due for a test competes as if it were well
             strains[e.id] = 1 if strains[e.id] >= 3 and self.warmth(e) == 1 else strains[e.id]
         if 2 * len(good) < len(engines):
-            good = engines
+            # but what told us of its failing stays out: a dead majority is dead all the same
+            good = [e for e in engines if e.failed < 2 or self.due_test(e)] or engines
         other = [e for e in good if e is not r.banned and e.cell != r.shunned]
         return other or good, strains
 
@@ -441,11 +442,12 @@
         f = Forward()
         f.req, f.n, f.engine, f.sent, f.reads, f.link = r, r.used, engine, self.now, reads, link
         f.started, f.cancelled, f.roomy = False, False, roomy
-        f.tokens = self.cost(engine, r) if reads else r.prompt + r.answer
+        f.cost = 0 if link else self.cost(engine, r)  # a mixed engine that gets no state reads as well
+        f.tokens = f.cost if reads else r.prompt + r.answer
+        engine.pending += f.cost
         r.used += 1
         r.out[f.n] = f
         if reads:
-            engine.pending += f.tokens
             f.expected = self.pace["read"].expect(self.now, engine.pending)
             r.stage = READING
         else:
