--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -393,8 +393,9 @@
         for e in good:  # one that is due for a test competes as if it were well
             strains[e.id] = 1 if strains[e.id] >= 3 and self.warmth(e) == 1 else strains[e.id]
         if 2 * len(good) < len(engines):
-            # but what told us of its failing stays out: a dead majority is dead all the same
-            good = [e for e in engines if e.failed < 2 or self.due_test(e)] or engines
+            # but what told of its failing is only tested, more often: a dead majority is dead all the same,
+            # and reqs would burn all their forwards there within a moment
+            good = [e for e in engines if e.failed < 2 or not e.waiting and self.now > e.tested + 250_000]
         other = [e for e in good if e is not r.banned and e.cell != r.shunned]
         return other or good, strains
 
