--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -389,7 +389,8 @@
             return [], strains
         usual = max(median(strains.values()), 1)  # what all share is in the pool's pace already
         strains = {id: strain / usual for id, strain in strains.items()}
-        good = [e for e in engines if strains[e.id] < 3 or self.warmth(e) < 1 or self.due_test(e)]
+        # a cold engine is late by nature, but one that can't be reached is not spared for being new
+        good = [e for e in engines if strains[e.id] * self.warmth(e) < 3 and e.failed < 2 or self.due_test(e)]
         for e in good:  # one that is due for a test competes as if it were well
             strains[e.id] = 1 if strains[e.id] >= 3 and self.warmth(e) == 1 else strains[e.id]
         if 2 * len(good) < len(engines):
@@ -504,7 +505,7 @@
         if not unread:
             return
         # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free
-        # now, against what its own answers free; a sixteenth of each memory is no room but noise of the reports
+        # now, against what its own answers free; a sixteenth of a memory is not room but noise of reports
         free = sum(max(self.room(e) - e.memory / 16, 0) for e in self.pool(False)) / self.fronts
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage != UNREAD) - free
         drain = self.drained.rate(self.now)
