--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -545,9 +545,9 @@
         # clearly over: twice the median and this front's part of a step more, as other fronts send there too
         if load[pick.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
             # fewest pending with its own prompt counted, less what is kept: reading a beginning anew has to
-            # pay by two steps, or spilled reads jam the rest. Of those about as good, the hash decides
+            # pay by three steps, or spilled reads jam the rest. Of those about as good, the hash decides
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
-            pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
+            pick = least if total[least.id] + 3 * Pace.BASE < total[pick.id] else pick
 
         def expect(engine, pending):
             return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
