A reader that has forgotten is no longer thought to keep anything

Cause: after a flush or eviction reads were still judged cheap at the old home and dear elsewhere; a read that finds less than half of what was expected now clears the estimate for that reader. Also guards against restarts the list does not tell and against readers whose memory is too small; one odd read costs an estimate that the next reads mend.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -224,6 +224,8 @@
                 r.effect = f
         if ending == "read":
             self.learn(f, elapsed)
+            if (note or 0) + Pace.BASE < (r.prompt - f.cost) / 2:
+                f.engine.kept.clear()  # it has forgotten: what it is thought to keep of others is gone as well
             self.keep(f.engine, r)
             r.held = True
         elif (ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started
@@ -545,9 +547,9 @@
         # clearly over: twice the median and this front's part of a step more, as other fronts send there too
         if load[pick.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
             # fewest pending with its own prompt counted, less what is kept: reading a beginning anew has to
-            # pay by three steps, or spilled reads jam the rest. Of those about as good, the hash decides
+            # pay by two steps, or spilled reads jam the rest. Of those about as good, the hash decides
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
-            pick = least if total[least.id] + 3 * Pace.BASE < total[pick.id] else pick
+            pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
 
         def expect(engine, pending):
             return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -157,6 +157,17 @@
         rig.end(2, 0, "full", home)
         self.assertNotEqual(rig.ask(3, session="s", after=100_000).all("forward")[0][1], home)
 
+    def test_a_reader_that_forgot_is_thought_to_keep_nothing(self):
+        for found, kept in ((9000, True), (0, False)):
+            with self.subTest(found=found):
+                rig = Rig(self.ROWS)
+                home = rig.ask(1, session="s", prompt=9000).all("forward")[0][1]
+                rig.end(1, 0, "read", home)
+                rig.front.engines[home].kept["other"] = 5000
+                rig.ask(2, session="s", prompt=9100, after=500_000)
+                rig.end(2, 0, "read", home, note=found)
+                self.assertEqual("other" in rig.front.engines[home].kept, kept)
+
     def test_a_silent_link_is_left(self):
         rig = Rig([row("r1", "rd"), row("r2", "rd", cell=1), row("w1", "wr", cell=1), row("w2", "wr", cell=1)])
         far = None
