--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -225,7 +225,7 @@
         if ending == "read":
             self.learn(f, elapsed)
             if (note or 0) + Pace.BASE < (r.prompt - f.cost) / 2:
-                f.engine.kept.clear()  # it has forgotten: what it is thought to keep of others is gone as well
+                f.engine.kept.clear()  # it has forgotten: what it kept of others is gone as well
             self.keep(f.engine, r)
             r.held = True
         elif (ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started
