Room at suspected writers does not count as free

Cause: while a writer hangs, its last report shows room that isn't there, and each front lets in reqs for it. Also guards against writers that die or refuse before the list tells.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -508,7 +508,8 @@
             return
         # tokens ahead of a new read: this front's own that have no answer yet, less its part of what is free
         # now, against what its own answers free; a sixteenth of a memory is not room but noise of reports
-        free = sum(max(self.room(e) - e.memory / 16, 0) for e in self.pool(False)) / self.fronts
+        well = [e for e in self.pool(False) if self.strain(e) * self.warmth(e) < 3]  # a hung one's room is none
+        free = sum(max(self.room(e) - e.memory / 16, 0) for e in well) / self.fronts
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage != UNREAD) - free
         drain = self.drained.rate(self.now)
         # a read state that has not landed is pending at its reader too: a jammed link or full writers near it
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -186,6 +186,16 @@
         self.assertIn(("cancel", far, 1), seen)
         self.assertEqual([d for d in rig.end(far, 1, "cancelled", "w1") if d[0] == "forward" and d[1] == far], [])
 
+    def test_room_at_a_failing_writer_does_not_count(self):
+        for failed, reads in ((0, True), (2, False)):
+            with self.subTest(failed=failed):
+                rig = Rig([row("r1", "rd"), row("r2", "rd"), row("w1", "wr"), row("w2", "wr")],
+                          release_within=60_000_000, memory_by_kind=[200_000, 30_000])
+                rig.front.drained.add(rig.now, 1000)
+                rig.front.engines["w2"].failed = failed
+                sent = [rig.ask(i, prompt=24_000, session="s%d" % i).all("forward") for i in range(4)]
+                self.assertEqual(sum(map(len, sent)) >= 2, reads, sent)
+
     def test_no_read_that_no_writer_has_room_for(self):
         rig = Rig([row("r1", "rd"), row("w1", "wr")], release_within=60_000_000)
         sent = [len(rig.ask(i, prompt=30_000, session="s%d" % i, after=400_000).all("forward")) for i in range(8)]
