A read that came late counts as others' tokens pending at its reader

Cause: a thin front's own pending tokens at a reader are nearly always none, so a home that all fronts overload looks idle. Change: the excess of a read's time over what its own pending tokens explain counts as tokens felt there, halved every 4 s. Covers too: slow readers and any queue this front did not make. Harm: one odd late read sends a prefix away for seconds.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -84,6 +84,7 @@
         """A fresh process, also under an old id: nothing learnt of another holds."""
         self.kept = {}          # prefix or session -> tokens that a reader probably has kept
         self.load, self.load_at, self.streams_then = None, 0, 0
+        self.felt, self.felt_at = 0, 0  # prompt tokens of other fronts that a read found before it
         self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
         self.failed = 0         # failures since the last answer
         self.cold_sends = []    # (time, work) of sends while it warms up
@@ -278,7 +279,20 @@
             if f.link:
                 del f.link.waiting[(f.req.id, f.n)]
 
+    def feel(self, f, elapsed):
+        """A read that came late stood behind others' tokens: all that a front sees of a busy home when each of
+        many fronts sends there seldom. Its own that were pending are in the expectation."""
+        if f.reads:
+            f.engine.felt = max(elapsed / f.expected - 1, 0) * (f.tokens + Pace.BASE)
+            f.engine.felt_at = self.now
+
+    def pending(self, engine):
+        # what was felt is halved every four seconds: queues of reads come and go in some seconds
+        felt = engine.felt * 0.5 ** ((self.now - engine.felt_at) / 4e6) if engine.felt else 0
+        return engine.pending + felt
+
     def learn(self, f, elapsed):
+        self.feel(f, elapsed)
         for way in (f.engine, f.link):
             if way:
                 way.answered, way.served_to = self.now, max(way.served_to, f.sent)
@@ -500,6 +514,7 @@
                     for way in (f.engine, f.link):
                         if way and (way.answered < f.sent or way is f.engine and way.served_to > f.sent):
                             way.fail(self.now, 0)
+                    self.feel(f, self.now - f.sent)
                     self.cancel(f)
 
     def place_unread(self):
@@ -530,7 +545,7 @@
             # that eats up three fifths of the target, and reads that would wait for a writer's room beyond
             # that aren't begun. None passes one of higher rank: the small would starve the large
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
-            if engine and not blocked and (not engine.pending or wait <= self.patience(r)):
+            if engine and not blocked and (not self.pending(engine) or wait <= self.patience(r)):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
             elif self.now + alone + queue > r.target:  # too late even with none of ours before it there
@@ -541,7 +556,7 @@
         if not engines:
             return None, self.pace["read"].expect(self.now, r.prompt), 0
         # one step's worth is added so that an idle but slow reader shows
-        load = {e.id: (e.pending + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
+        load = {e.id: (self.pending(e) + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
         total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
         rank = {e.id: crc32(("%s %s" % (r.home, e.id)).encode()) for e in engines}
         pick = max(engines, key=lambda e: (rank[e.id], e.id))
@@ -555,11 +570,11 @@
         def expect(engine, pending):
             return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
 
-        if expect(pick, pick.pending) > self.patience(r):
+        if expect(pick, self.pending(pick)) > self.patience(r):
             # in time elsewhere goes before home: a short deadline or a long prompt ahead mustn't cost the req
-            quick = min(engines, key=lambda e: (expect(e, e.pending), e.id))
-            pick = quick if expect(quick, quick.pending) <= self.patience(r) else pick
-        return pick, expect(pick, 0), expect(pick, pick.pending)
+            quick = min(engines, key=lambda e: (expect(e, self.pending(e)), -rank[e.id], e.id))
+            pick = quick if expect(quick, self.pending(quick)) <= self.patience(r) else pick
+        return pick, expect(pick, 0), expect(pick, self.pending(pick))
 
     def patience(self, r):
         return min((r.target - r.arrived) * 0.6, r.target - self.now)
