A writer not seen lately is taken to be as full as its cell; ties go by chance

Cause: a thin front has one report a second for dozens of writers; its own streams times a hundred fronts were all noise, and equal loads went to the lowest id from all fronts together. Change: the usual share of memory (reports of the cell, then of all, as decaying sums; own tokens without reports) stands for what is unknown; own tokens stand for others' less the more fronts there are; a report is trusted for 4 s instead of 2; ties by chance. Harm: a cell with one full and one empty writer is evened out until both were heard.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -104,7 +104,7 @@
 
 class Front:
     def __init__(self, seed, settings):
-        self.settings, self.now, self.out = settings, 0, None  # no chance: the seed is not used
+        self.settings, self.seed, self.draws, self.now, self.out = settings, seed, 0, 0, None
         get = settings.get
         self.groups = {}
         for i, group in enumerate(get("groups", ())):
@@ -120,6 +120,7 @@
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.pace = {"read": Pace(), "write": Pace()}
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
+        self.told, self.usual = {}, {}  # reports of memory held, by cell and of all; what follows for this round
         self.mean_work, self.buckets, self.carried = {}, {}, {}
         self.parked, self.promised = {}, {}
         self.marks, self.wake_at = 0, 0
@@ -128,7 +129,7 @@
     # ---- what comes in ----
 
     def turn(self, now, inbox, out):
-        self.now, self.out = now, out
+        self.now, self.out, self.usual = now, out, {}
         for call, arguments in inbox:
             getattr(self, call)(*arguments)
         self.follow_list()
@@ -269,6 +270,11 @@
         engine = self.engines.get(engine_id)
         if engine and load:
             engine.load, engine.load_at, engine.streams_then = load, self.now, engine.streams
+            if "memory_share" in load and engine.role != "read":
+                for key in (None, engine.cell):
+                    total, count = self.told.setdefault(key, (Sum(4_000_000), Sum(4_000_000)))
+                    total.add(self.now, load["memory_share"])
+                    count.add(self.now, 1)
 
     # ---- book-keeping ----
 
@@ -443,14 +449,39 @@
         total, count = self.mean_work[r.group.get("name")]
         return total.read(self.now) / max(count.read(self.now), 1e-9)
 
+    def chance(self):
+        self.draws += 1
+        return crc32(b"%d %d" % (self.seed, self.draws)) / 2**32
+
+    def held_usually(self, cell):
+        """Share of memory that a writer of the cell probably holds when nothing is known of it: what others
+        told lately, those of its cell first, else this front's own tokens times the fronts."""
+        if not self.usual:
+            writers = self.pool(False)
+            own = sum(e.streams for e in writers) / max(sum(e.memory for e in writers), 1)
+            # tokens of a usual forward: how many of one's own a writer has tells how far they can be trusted
+            each = 2000 * max(len(writers), 1) / max(sum(e.streams for e in writers), 1)
+            self.usual["own"], self.usual["each"] = own, each
+        if cell not in self.usual:
+            share, weight = self.usual["own"] * self.fronts, 0.5
+            for key in (None, cell):
+                total, count = self.told.get(key) or (Sum(1), Sum(1))
+                share = (total.read(self.now) + weight * share) / (count.read(self.now) + weight)
+                weight = 2
+            self.usual[cell] = share
+        return self.usual[cell]
+
     def room(self, engine):
-        """Tokens of memory a writer probably has free: its report, blended by age into this front's view."""
+        """Tokens of memory a writer probably has free: what is usual, its report blended in by age, and this
+        front's own tokens there, which stand for others' the more the fewer fronts there are."""
         if not engine.memory:
             return float("inf")
-        share = engine.streams / engine.memory * self.fronts
+        share = self.held_usually(engine.cell)
+        others = (self.fronts - 1) / (1 + 10 * (1 - 1 / self.fronts) * self.usual["each"])
+        share += (engine.streams / engine.memory - self.usual["own"]) * (1 + others)
         told = (engine.load or {}).get("memory_share")
         if told is not None:
-            trust = exp(-(self.now - engine.load_at) / 2e6)  # reports are a good second old on the whole
+            trust = exp(-(self.now - engine.load_at) / 4e6)  # about as long as an answer holds its memory
             share += trust * (told + (engine.streams - engine.streams_then) / engine.memory - share)
         return (1 - share) * engine.memory
 
@@ -638,7 +669,7 @@
         near = [e for e in able if load[e.id] <= least + 0.15]
         near = ([e for e in near if e.cell == r.reader.cell] or [e for e in near if e.zone == r.reader.zone]
                 or [e for e in able if load[e.id] == least])
-        return min(near, key=lambda e: (load[e.id], e.id))
+        return min(near, key=lambda e: (load[e.id], self.chance()))  # or all fronts would take the same one
 
     def set_wake(self):
         # looked after every 20 ms, and on time for the release and for the answer that is owed
