A prefix above a reader's even part has several homes, the session says which

Cause: clients' next turns come to other fronts (42 of 3,487 to the same), so only a hash can bring a session back to what was kept of it; three prefixes of a fifth to a tenth of all reqs overran one reader each and spilled at random. Change: homes as many as the prefix's part of all reqs times the readers (a minute's sums, ten reqs more than seen), chosen by the session's hash. Spilling stays as it was. Harm: fronts differ a little in the number of homes.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -59,6 +59,13 @@
         return rate * (tokens + self.BASE)
 
 
+def remember(where, key, value):
+    where.pop(key, None)
+    where[key] = value
+    if len(where) > 400:  # a few minutes of sessions: older ones have been pushed out
+        del where[next(iter(where))]
+
+
 class Forward:
     """One try: req, n, engine, link, sent, tokens, cost, expected, reads, roomy, started, cancelled."""
 
@@ -121,6 +128,8 @@
         self.pace = {"read": Pace(), "write": Pace()}
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
         self.told, self.usual = {}, {}  # reports of memory held, by cell and of all; what follows for this round
+        # how often each prefix was asked for: over a minute, as few come to each of many fronts
+        self.prefixes, self.asked_for = {}, Sum(60_000_000)
         self.mean_work, self.buckets, self.carried = {}, {}, {}
         self.parked, self.promised = {}, {}
         self.marks, self.wake_at = 0, 0
@@ -182,6 +191,11 @@
         r.held, r.banned, r.shunned = False, None, None
         part = self.settings.get("over_share_importance", 1) if self.over_share(r) else 1
         r.rank = (-part * g.get("importance", 1), r.target, id)
+        self.asked_for.add(self.now, 1)
+        if prefix:
+            often = self.prefixes.get(prefix) or Sum(60_000_000)
+            often.add(self.now, 1)
+            remember(self.prefixes, prefix, often)
         seen = self.mean_work.setdefault(g.get("name"), [Sum(20_000_000), Sum(20_000_000)])
         seen[0].add(self.now, prompt)
         seen[1].add(self.now, 1)
@@ -308,13 +322,9 @@
             self.pace["read" if f.reads else "write"].add(self.now, elapsed, f.tokens)
 
     def keep(self, engine, r):
-        kept = engine.kept
         for key, tokens in ((r.prefix, r.shared), (r.session, r.prompt)):
             if key:
-                kept.pop(key, None)
-                kept[key] = tokens
-        while len(kept) > 400:  # a few minutes of sessions: older ones have been pushed out
-            del kept[next(iter(kept))]
+                remember(engine.kept, key, tokens)
 
     def cost(self, engine, r):
         """Prompt tokens that this reader would have to read, less what it probably has kept."""
@@ -590,7 +600,12 @@
         load = {e.id: (self.pending(e) + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
         total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
         rank = {e.id: crc32(("%s %s" % (r.home, e.id)).encode()) for e in engines}
-        pick = max(engines, key=lambda e: (rank[e.id], e.id))
+        # a prefix asked for more than a reader's even part of all reqs has as many homes, so that none is overrun;
+        # the session says which, the same at every front. Ten reqs more than seen: a young front knows little
+        often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
+        count = 1 + int(len(engines) * often / (self.asked_for.read(self.now) + 10))
+        homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[:count]
+        pick = max(homes, key=lambda e: crc32(("%s %s" % (r.session or r.id, e.id)).encode()))
         # clearly over: twice the median and this front's part of a step more, as other fronts send there too
         if load[pick.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
             # fewest pending with its own prompt counted, less what is kept: reading a beginning anew has to
