What is the same for all reqs of a round is computed once

Change: strains, pools, rooms and the suspected are kept for the round until something is sent; ranks of readers are kept by prefix; credit and health of links are asked once a req, not once a writer.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -41,6 +41,16 @@
         return self.read(now) * 0.693 / self.half / (1 - 0.5 ** (age / self.half))
 
 
+def once_a_round(compute):
+    """What is the same for all reqs of a round is computed once, until something is sent."""
+    def look_up(front, of=None):
+        key = compute, getattr(of, "id", of)
+        if key not in front.same:
+            front.same[key] = compute(front) if of is None else compute(front, of)
+        return front.same[key]
+    return look_up
+
+
 class Pace:
     """What a pool of engines needs for a piece of work, from all that this front saw of the pool."""
     BASE = 1000  # tokens that stand for the fixed part of each piece: about one step of an engine
@@ -127,9 +137,10 @@
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.pace = {"read": Pace(), "port": Pace(), "out": Pace()}  # a slow link is not its writers' fault
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
-        self.told, self.usual = {}, {}  # reports of memory held, by cell and of all; what follows for this round
+        self.told = {}   # reports of memory held, by cell and of all
+        self.same = {}   # what holds for all reqs of a round, until something is sent
         # how often each prefix was asked for: over a minute, as few come to each of many fronts
-        self.prefixes, self.asked_for = {}, Sum(60_000_000)
+        self.prefixes, self.asked_for, self.ranks = {}, Sum(60_000_000), {}
         self.mean_work, self.buckets, self.carried = {}, {}, {}
         self.parked, self.promised = {}, {}
         self.marks, self.wake_at = 0, 0
@@ -138,11 +149,13 @@
     # ---- what comes in ----
 
     def turn(self, now, inbox, out):
-        self.now, self.out, self.usual = now, out, {}
+        self.now, self.out = now, out
+        self.same.clear()
         for call, arguments in inbox:
             getattr(self, call)(*arguments)
         self.follow_list()
         self.look_after_forwards()
+        self.same.clear()
         self.place_unread()
         self.place_states()
         self.set_wake()
@@ -383,6 +396,7 @@
 
     # ---- engines ----
 
+    @once_a_round
     def strain(self, engine):
         """How many times later than its pool an engine answers; what is still out counts with its age."""
         value = (engine.late.read(self.now) + 2) / (engine.tries.read(self.now) + 2)
@@ -401,6 +415,7 @@
         start = self.settings.get("cold_share", 1)
         return start + (1 - start) * max(age, 0) / warm
 
+    @once_a_round
     def pool(self, reads):
         roles = ("read",) if reads else ("write", "both")
         engines = [e for e in self.engines.values() if e.up and e.role in roles]
@@ -409,17 +424,16 @@
             engines = [e for e in self.engines.values() if e.up and e.role in ("both", also)]
         return engines
 
-    def usable(self, engines, r):
-        """Engines that may get this req: allowed by rule 2, not pushed over while cold, and not suspected.
+    @once_a_round
+    def fit(self, reads):
+        """Engines that are not suspected, and how strained each is against its pool.
 
         Suspicion is relative: when most look bad the cause is not the engines, and all are used. A suspected
         engine with nothing out is tested by a req in two seconds, in four when it goes on failing.
         """
-        engines = [e for e in engines if self.may_send(r, e) and self.cold_room(e, r, engines)]
+        engines = self.pool(reads)
         strains = {e.id: self.strain(e) for e in engines}
-        if not strains:
-            return [], strains
-        usual = max(median(strains.values()), 1)  # what all share is in the pool's pace already
+        usual = max(median(strains.values()), 1) if strains else 1  # what all share is in the pool's pace already
         strains = {id: strain / usual for id, strain in strains.items()}
         # a cold engine is late by nature, but one that can't be reached is not spared for being new
         good = [e for e in engines if strains[e.id] * self.warmth(e) < 3 and e.failed < 2 or self.due_test(e)]
@@ -429,13 +443,19 @@
             # but what told of its failing is only tested, more often: a dead majority is dead all the same,
             # and reqs would burn all their forwards there within a moment
             good = [e for e in engines if e.failed < 2 or not e.waiting and self.now > e.tested + 250_000]
-        other = [e for e in good if e is not r.banned and e.cell != r.shunned]
-        return other or good, strains
+        return good, strains
+
+    def usable(self, reads, r):
+        """Of those, the engines that may get this req: allowed by rule 2, not pushed over while cold."""
+        good, strains = self.fit(reads)
+        able = [e for e in good if self.may_send(r, e) and (not e.born or self.cold_room(e, r))]
+        other = [e for e in able if e is not r.banned and e.cell != r.shunned]
+        return other or able, strains
 
     def due_test(self, way):
         return not way.waiting and self.now > way.tested + 500_000 * min(max(way.failed, 4), 8)
 
-    def cold_room(self, engine, r, peers):
+    def cold_room(self, engine, r):
         """Rule 4: this front's part of what an engine that warms up can take within one window."""
         if self.warmth(engine) == 1:
             engine.cold_sends.clear()
@@ -463,32 +483,35 @@
         self.draws += 1
         return crc32(b"%d %d" % (self.seed, self.draws)) / 2**32
 
+    @once_a_round
     def held_usually(self, cell):
         """Share of memory that a writer of the cell probably holds when nothing is known of it: what others
         told lately, those of its cell first, else this front's own tokens times the fronts."""
-        if not self.usual:
-            writers = self.pool(False)
-            own = sum(e.streams for e in writers) / max(sum(e.memory for e in writers), 1)
-            # tokens of a usual forward: how many of one's own a writer has tells how far they can be trusted
-            each = 2000 * max(len(writers), 1) / max(sum(e.streams for e in writers), 1)
-            self.usual["own"], self.usual["each"] = own, each
-        if cell not in self.usual:
-            share, weight = self.usual["own"] * self.fronts, 0.5
-            for key in (None, cell):
-                total, count = self.told.get(key) or (Sum(1), Sum(1))
-                share = (total.read(self.now) + weight * share) / (count.read(self.now) + weight)
-                weight = 2
-            self.usual[cell] = share
-        return self.usual[cell]
-
+        own, each = self.own_held()
+        share, weight = own * self.fronts, 0.5
+        for key in (None, cell):
+            total, count = self.told.get(key) or (Sum(1), Sum(1))
+            share = (total.read(self.now) + weight * share) / (count.read(self.now) + weight)
+            weight = 2
+        return share
+
+    @once_a_round
+    def own_held(self):
+        """Share of the writers' memory held by this front, and how few usual forwards of its own a writer has."""
+        writers = self.pool(False)
+        own = sum(e.streams for e in writers)
+        return own / max(sum(e.memory for e in writers), 1), 2000 * len(writers) / max(own, 1)
+
+    @once_a_round
     def room(self, engine):
         """Tokens of memory a writer probably has free: what is usual, its report blended in by age, and this
         front's own tokens there, which stand for others' the more the fewer fronts there are."""
         if not engine.memory:
             return float("inf")
         share = self.held_usually(engine.cell)
-        others = (self.fronts - 1) / (1 + 10 * (1 - 1 / self.fronts) * self.usual["each"])
-        share += (engine.streams / engine.memory - self.usual["own"]) * (1 + others)
+        own, each = self.own_held()
+        others = (self.fronts - 1) / (1 + 10 * (1 - 1 / self.fronts) * each)
+        share += (engine.streams / engine.memory - own) * (1 + others)
         told = (engine.load or {}).get("memory_share")
         if told is not None:
             trust = exp(-(self.now - engine.load_at) / 4e6)  # about as long as an answer holds its memory
@@ -504,6 +527,7 @@
         f.cost = 0 if link else self.cost(engine, r)  # a mixed engine that gets no state reads as well
         f.tokens = f.cost if reads else r.prompt + r.answer
         engine.pending += f.cost
+        self.same.clear()
         r.used += 1
         r.out[f.n] = f
         if reads:
@@ -597,34 +621,41 @@
                 self.give_up(r)
 
     def pick_reader(self, r):
-        engines, strains = self.usable(self.pool(True), r)
+        engines, strains = self.usable(True, r)
+        pace = self.pace["read"]
         if not engines:
-            return None, self.pace["read"].expect(self.now, r.prompt), 0
-        # one step's worth is added so that an idle but slow reader shows
-        load = {e.id: (self.pending(e) + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
-        total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
-        rank = {e.id: crc32(("%s %s" % (r.home, e.id)).encode()) for e in engines}
+            return None, pace.expect(self.now, r.prompt), 0
+        rank = self.ranks.get(r.home) or {}
+        for e in engines:
+            if e.id not in rank:
+                rank[e.id] = crc32(("%s %s" % (r.home, e.id)).encode())
+        remember(self.ranks, r.home, rank)
         # a prefix asked for more than a reader's even part of all reqs has as many homes, so that none is overrun;
         # the session says which, the same at every front. Ten reqs more than seen: a young front knows little
         often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
         count = 1 + int(len(engines) * often / (self.asked_for.read(self.now) + 10))
         homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[:count]
         pick = max(homes, key=lambda e: crc32(("%s %s" % (r.session or r.id, e.id)).encode()))
+        # one step's worth is added so that an idle but slow reader shows
+        load = {e.id: (self.pending(e) + self.parked.get(e.id, 0) + Pace.BASE) * strains[e.id] for e in engines}
         # clearly over: twice the median and this front's part of a step more, as other fronts send there too
         if load[pick.id] > 2 * median(load.values()) + Pace.BASE / self.fronts:
             # fewest pending with its own prompt counted, less what is kept: reading a beginning anew has to
             # pay by two steps, or spilled reads jam the rest. Of those about as good, the hash decides
+            total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
             least = min(engines, key=lambda e: (int(total[e.id] / Pace.BASE), -rank[e.id], e.id))
             pick = least if total[least.id] + 2 * Pace.BASE < total[pick.id] else pick
 
         def expect(engine, pending):
-            return self.pace["read"].expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
+            return pace.expect(self.now, pending + self.cost(engine, r)) * strains[engine.id]
 
-        if expect(pick, self.pending(pick)) > self.patience(r):
+        wait = expect(pick, self.pending(pick))
+        if wait > self.patience(r):
             # in time elsewhere goes before home: a short deadline or a long prompt ahead mustn't cost the req
-            quick = min(engines, key=lambda e: (expect(e, self.pending(e)), -rank[e.id], e.id))
-            pick = quick if expect(quick, self.pending(quick)) <= self.patience(r) else pick
-        return pick, expect(pick, 0), expect(pick, self.pending(pick))
+            waits = {e.id: expect(e, self.pending(e)) for e in engines}
+            quick = min(engines, key=lambda e: (waits[e.id], -rank[e.id], e.id))
+            pick, wait = (quick, waits[quick.id]) if waits[quick.id] <= self.patience(r) else (pick, wait)
+        return pick, expect(pick, 0), wait
 
     def patience(self, r):
         return min((r.target - r.arrived) * 0.6, r.target - self.now)
@@ -637,20 +668,22 @@
                 self.give_up(r)
                 continue
             last = self.now >= self.release_at(r)
-            engines, strains = self.usable(self.pool(False), r)
+            engines, strains = self.usable(False, r)
             # a link on which nothing starts while writers answer others is left until a test of it is due
-            ways = [(e, self.link(r, e)) for e in engines]
-            engines = [e for e, link in ways if self.strain(link) < 3 or self.due_test(link)]
-            paid = [e for e in engines if self.has_credit(r, e)]
+            links = {key: self.link(r, key) for key in ("port", "out")}
+            ways = [key for key, link in links.items() if self.strain(link) < 3 or self.due_test(link)]
+            funds = [key for key in ways if self.has_credit(r, links[key])]
+            paid = [e for e in engines if self.way(r, e) in funds]
+            engines = [e for e in engines if self.way(r, e) in ways]
             choice = self.pick_writer(r, [e for e in paid if self.has_room(e, r)], strains)
             if choice:
-                self.send(r, choice, False, self.link(r, choice))
+                self.send(r, choice, False, links[self.way(r, choice)])
                 continue
             choice = self.pick_writer(r, paid or engines, strains)
             if not last and choice:
                 self.promised[choice.id] = self.promised.get(choice.id, 0) + r.prompt
             elif last and choice:
-                self.send(r, choice, False, self.link(r, choice), roomy=False)
+                self.send(r, choice, False, links[self.way(r, choice)], roomy=False)
             elif last and r.used + 2 <= self.cap and self.now < r.target:
                 self.let_go(r)  # no way from here: read anew in another cell
                 r.stage, r.shunned = UNREAD, r.reader.cell
@@ -667,13 +700,15 @@
         # shortly before: two rounds and a tenth of the limit
         return r.clock + self.release_within - 2 * self.round_time - self.release_within // 10
 
-    def link(self, r, engine):
-        key = (r.reader.cell, "port" if r.reader.cell == engine.cell else "out")
-        return self.links.setdefault(key, Engine(key))
+    def way(self, r, engine):
+        return "port" if r.reader.cell == engine.cell else "out"
+
+    def link(self, r, way):
+        return self.links.setdefault((r.reader.cell, way), Engine((r.reader.cell, way)))
 
-    def has_credit(self, r, engine):
+    def has_credit(self, r, link):
         # the design's window, and its lapse of two seconds
-        out = self.link(r, engine).waiting.values()
+        out = link.waiting.values()
         used = sum(f.req.prompt for f in out if self.now - f.sent < 2_000_000)
         return not used or used + r.prompt <= 32_000  # a prompt larger than the window crosses an idle link
 
