A front's part of a cold engine under one req is sent once in a longer time, begun by chance

Covers any restart of many engines at once, at any number of fronts. Harm: a front that is alone but told of many others warms an engine up late.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -104,7 +104,7 @@
         self.felt, self.felt_at = 0, 0  # prompt tokens of other fronts that a read found before it
         self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
         self.failed = 0         # failures since the last answer
-        self.cold_sends = []    # (time, work) of sends while it warms up
+        self.cold_sends = None  # (time, work) of sends while it warms up
 
     def judge(self, now, ratio):
         self.late.add(now, min(ratio, 8))
@@ -458,22 +458,28 @@
     def cold_room(self, engine, r):
         """Rule 4: this front's part of what an engine that warms up can take within one window."""
         if self.warmth(engine) == 1:
-            engine.cold_sends.clear()
+            engine.cold_sends = None
             return True
-        window = self.settings.get("cold_window", 0)
-        while engine.cold_sends and engine.cold_sends[0][0] <= self.now - window:
-            engine.cold_sends.pop(0)
-        if not engine.cold_sends:
-            return True
-        up = [e for e in self.engines.values() if e.role == engine.role and e.up]
-        warm = [e.carried.rate(self.now) for e in up if self.warmth(e) == 1]
+        window, work = self.settings.get("cold_window", 0), self.usual_work(r)
         # what a warm one carries now, or, when most have restarted at once, what one carried lately. Seen
         # loads are under capacity, which is the slack for chance; the curve of warming is not told, so half
         # of a straight line is trusted
-        rate = max(sum(warm) / max(len(warm), 1), self.carried[engine.role].rate(self.now) / len(up))
         share = (self.settings.get("cold_share", 1) + self.warmth(engine)) / 2
-        budget = self.settings.get("cold_multiple", 1) * share * rate * window
-        return sum(work for _, work in engine.cold_sends) + self.usual_work(r) <= budget
+        budget = self.settings.get("cold_multiple", 1) * share * self.usual_rate(engine.role) * window
+        # less than one req: it is sent once in a longer time, which begins by chance, or all of many fronts
+        # would send their first one together; a front that has seen nothing takes its turn among the fronts
+        longer = window * (work / budget if budget else self.fronts)
+        if engine.cold_sends is None:
+            engine.cold_sends = [(self.now - int(self.chance() * longer), work)] if longer > window else []
+        window, budget = max(window, longer), max(budget, work)
+        return sum(w for at, w in engine.cold_sends if at > self.now - window) + work <= budget
+
+    @once_a_round
+    def usual_rate(self, role):
+        up = [e for e in self.engines.values() if e.role == role and e.up]
+        warm = [e.carried.rate(self.now) for e in up if self.warmth(e) == 1]
+        return max(sum(warm) / max(len(warm), 1), self.carried[role].rate(self.now) / len(up)
+                   if role in self.carried else 0)
 
     def usual_work(self, r):
         total, count = self.mean_work[r.group.get("name")]
@@ -546,7 +552,7 @@
         engine.carried.add(self.now, self.usual_work(r))
         self.carried.setdefault(engine.role, Sum(30_000_000)).add(self.now, self.usual_work(r))
         if self.warmth(engine) < 1:
-            engine.cold_sends.append((self.now, self.usual_work(r)))
+            engine.cold_sends = [*(engine.cold_sends or ()), (self.now, self.usual_work(r))][-400:]
         if link:
             link.waiting[(r.id, f.n)] = f
             link.tested = self.now
