--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -58,9 +58,9 @@
     def __init__(self):
         self.spent, self.work = Sum(10_000_000), Sum(10_000_000)  # 10 s: long against an answer
 
-    def add(self, now, spent, tokens):
-        self.spent.add(now, spent)
-        self.work.add(now, tokens + self.BASE)
+    def add(self, now, spent, tokens, weight=1):
+        self.spent.add(now, spent * weight)
+        self.work.add(now, (tokens + self.BASE) * weight)
 
     def expect(self, now, tokens):
         rate = (self.spent.read(now) + 60 * 2000) / (self.work.read(now) + 2000)  # 60 us: a large model
@@ -122,10 +122,11 @@
                 group[name] = told[min(i, len(told) - 1)]
             self.groups[group.get("name")] = group
         self.fronts = max(1, get("fronts", 1))
+        self.unseen = (1 - 1 / self.fronts) ** 4  # how much goes on unseen: little with two, most with twenty
         self.round_time, self.cap = get("round", 0), get("forwards_cap", 4)
         self.release_within = get("release_within", 1_000_000)
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
-        self.pace = {"read": Pace(), "port": Pace(), "out": Pace()}  # a slow link is not its writers' fault
+        self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
         self.told, self.same = {}, {}  # reports of memory held, by cell and of all; see once_a_round
         self.prefixes, self.asked_for = {}, Sum(60_000_000)  # over a minute: few come to each of many fronts
@@ -285,7 +286,7 @@
             f.engine.felt_at = self.now
 
     def pending(self, engine):
-        return engine.pending + engine.felt * 0.5 ** ((self.now - engine.felt_at) / 4e6)  # felt for seconds
+        return engine.pending + self.unseen * engine.felt * 0.5 ** ((self.now - engine.felt_at) / 4e6)  # felt for seconds
 
     def learn(self, f, elapsed):
         self.feel(f, elapsed)
@@ -294,8 +295,8 @@
                 way.answered, way.served_to = self.now, max(way.served_to, f.sent)
                 if f.roomy:  # a wait for memory says nothing of how fast the engine is
                     way.judge(self.now, elapsed / f.expected)
-        if f.roomy:
-            f.pace.add(self.now, elapsed, f.tokens)
+        for pace in f.paces if f.roomy else ():
+            pace.add(self.now, elapsed, f.tokens)
 
     def cost(self, engine, r):
         """Prompt tokens that this reader would have to read, less what it probably has kept."""
@@ -366,8 +367,7 @@
     @once_a_round
     def pool(self, reads):
         up, roles = [e for e in self.engines.values() if e.up], ("read",) if reads else ("write", "both")
-        # mixed engines read for themselves, and writers where the site lets them
-        also = ("both", "write" if self.settings.get("writers_read") else "") if reads else ()
+        also = ("both", "write" if self.settings.get("writers_read") else "") if reads else ()  # for themselves
         return [e for e in up if e.role in roles] or [e for e in up if e.role in also]
 
     @once_a_round
@@ -466,13 +466,14 @@
         r.used += 1
         r.out[f.n] = f
         if reads:
-            f.pace = self.pace["read"]
-            f.expected = f.pace.expect(self.now, engine.pending)
+            f.paces = (self.pace["read"],)
+            f.expected = f.paces[0].expect(self.now, engine.pending)
             r.stage = READING
         else:
             engine.streams += f.tokens
-            f.pace = self.pace[link.id[1] if link else "port"]
-            f.expected = f.pace.expect(self.now, f.tokens)
+            f.paces = self.pace["write"], self.pace[link.id[1] if link else "port"]
+            whole, way = (pace.expect(self.now, f.tokens) for pace in f.paces)
+            f.expected = whole + self.unseen * (way - whole)  # a thin front can't tell a slow link from writers
             r.stage = WRITING
         f.expected = max(f.expected / self.warmth(engine), 1)
         engine.waiting[(r.id, f.n)] = f
@@ -511,8 +512,8 @@
                         if way and (way.answered < f.sent or way is f.engine and way.served_to > f.sent):
                             way.fail(self.now, 0)
                     self.feel(f, self.now - f.sent)
-                    if f.roomy:  # left out, what was waited for in vain would make all look quick
-                        f.pace.add(self.now, self.now - f.sent, f.tokens)
+                    for pace in f.paces if f.roomy else ():  # left out, all would look quick
+                        pace.add(self.now, self.now - f.sent, f.tokens, self.unseen)
                     self.cancel(f)
 
     def place_unread(self):
@@ -525,11 +526,10 @@
         free = sum(max(self.room(e) - e.memory / 16, 0) for e in well) / self.fronts
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage != UNREAD) - free
         drain = self.drained.rate(self.now)
-        self.parked = {}  # states not landed are pending at their reader too: jammed links, full writers
+        self.parked, blocked = {}, False  # states not landed are pending at their reader: jammed links show
         for r in self.live.values():
             if r.stage in (READ, WRITING) and r.reader:
                 self.parked[r.reader.id] = self.parked.get(r.reader.id, 0) + r.prompt
-        blocked = False
         for r in unread:
             need = r.prompt + r.answer
             engine, alone, wait = self.pick_reader(r)
@@ -553,7 +553,7 @@
         # a prefix asked for more than a reader's even part has as many homes; the session says which, alike
         # at every front. Ten reqs more than seen: a young front knows little
         often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
-        count = 1 + int(len(engines) * often / (self.asked_for.read(self.now) + 10))
+        count = 1 + int(self.unseen * len(engines) * often / (self.asked_for.read(self.now) + 10))
         homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[:count]
         pick = max(homes, key=lambda e: crc32(("%s %s" % (r.session or r.id, e.id)).encode()))
         parked, base = self.parked.get, Pace.BASE  # one step's worth shows an idle but slow reader
