--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -280,13 +280,13 @@
                 del f.link.waiting[(f.req.id, f.n)]
 
     def feel(self, f, elapsed):
-        """A late read stood behind others' tokens: all that one of many fronts sees of a busy home."""
+        """A late read stood behind others' tokens: all one of many fronts sees of queues of seconds."""
         if f.reads:
             f.engine.felt = max(elapsed / f.expected - 1, 0) * (f.tokens + Pace.BASE)
             f.engine.felt_at = self.now
 
     def pending(self, engine):
-        return engine.pending + self.unseen * engine.felt * 0.5 ** ((self.now - engine.felt_at) / 4e6)  # felt for seconds
+        return engine.pending + self.unseen * engine.felt * 0.5 ** ((self.now - engine.felt_at) / 4e6)
 
     def learn(self, f, elapsed):
         self.feel(f, elapsed)
@@ -367,7 +367,7 @@
     @once_a_round
     def pool(self, reads):
         up, roles = [e for e in self.engines.values() if e.up], ("read",) if reads else ("write", "both")
-        also = ("both", "write" if self.settings.get("writers_read") else "") if reads else ()  # for themselves
+        also = ("both", "write" if self.settings.get("writers_read") else "") if reads else ()  # alone
         return [e for e in up if e.role in roles] or [e for e in up if e.role in also]
 
     @once_a_round
@@ -473,7 +473,7 @@
             engine.streams += f.tokens
             f.paces = self.pace["write"], self.pace[link.id[1] if link else "port"]
             whole, way = (pace.expect(self.now, f.tokens) for pace in f.paces)
-            f.expected = whole + self.unseen * (way - whole)  # a thin front can't tell a slow link from writers
+            f.expected = whole + self.unseen * (way - whole)  # thin: a slow link looks like slow writers
             r.stage = WRITING
         f.expected = max(f.expected / self.warmth(engine), 1)
         engine.waiting[(r.id, f.n)] = f
