--- /dev/null
+++ b/martenrouter/cli/edge.py
@@ -0,0 +1,28 @@
+"""`martenrouter edge`: one front, serving until it is told to stop."""
+import sys
+
+import click
+
+
+@click.command("edge")
+@click.argument("path", required=False, type=click.Path())
+@click.option("--set", "given", multiple=True, metavar="NAME=VALUE", help="A parameter of the settings file.")
+@click.option("--with-stdin", is_flag=True, help="Stop at once when standard input ends: for programs that start a front.")
+def command(path, given, with_stdin):
+    """Serves clients; settings from PATH (Jsonnet), or the embedded defaults.
+
+    SIGTERM or SIGINT stops it cleanly, a second one at once.
+    """
+    from martenrouter.cli.life import stop_with_stdin
+    from martenrouter.edge.front import Front
+    from martenrouter.edge.log import logger
+    from martenrouter.settings.front import load
+    settings = load(path, given)
+    log = logger(settings.log.form, settings.log.level, front=settings.name)
+    if with_stdin:
+        stop_with_stdin()
+    try:
+        code = Front(settings, log).run()
+    except OSError as why:
+        raise click.ClickException("%s: can't listen on %s: %s" % (settings.name, settings.listen, why)) from why
+    sys.exit(code)
--- /dev/null
+++ b/martenrouter/decisions/connections.py
@@ -0,0 +1,47 @@
+"""Which connections to an engine are kept and used: no sockets here, a connection is whatever the caller hands in.
+
+Kept ones are used newest first, so that a burst's extra ones grow old and are closed. An idle one that is older than
+engines commonly keep theirs is not used: its end may already be on the way, and a req sent into it would end as a
+reset that proves nothing.
+"""
+
+
+class Connections:
+    IDLE = 4_000_000  # engines in the field close idle connections after 5 s and more
+
+    def __init__(self, most):
+        self.most, self.idle = most, {}  # engine -> [(since, connection)], oldest first
+
+    def take(self, now, engine):
+        """(connection or None, those to be closed)."""
+        kept = self.idle.get(engine)
+        if not kept:
+            return None, ()
+        fresh = [pair for pair in kept if now - pair[0] < self.IDLE]
+        closing = [pair[1] for pair in kept if now - pair[0] >= self.IDLE]
+        connection = fresh.pop()[1] if fresh else None
+        if fresh:
+            self.idle[engine] = fresh
+        else:
+            del self.idle[engine]
+        return connection, closing
+
+    def give(self, now, engine, connection):
+        """Back after use; returns those to be closed for it."""
+        kept = self.idle.setdefault(engine, [])
+        kept.append((now, connection))
+        return [kept.pop(0)[1]] if len(kept) > self.most else ()
+
+    def forget(self, engine):
+        """The engine left, or another process answers for it: nothing of the old one is used."""
+        return [connection for _, connection in self.idle.pop(engine, ())]
+
+    def sweep(self, now):
+        closing = []
+        for engine in list(self.idle):
+            kept = self.idle[engine]
+            while kept and now - kept[0][0] >= self.IDLE:
+                closing.append(kept.pop(0)[1])
+            if not kept:
+                del self.idle[engine]
+        return closing
--- /dev/null
+++ b/martenrouter/edge/clock.py
@@ -0,0 +1,12 @@
+"""The two clocks of a process, in whole microseconds."""
+import time
+
+
+def now():
+    """Monotonic: for everything that is decided."""
+    return time.monotonic_ns() // 1000
+
+
+def wall():
+    """Wall time: only for what other processes told in it."""
+    return time.time_ns() // 1000
--- /dev/null
+++ b/martenrouter/edge/engines.py
@@ -0,0 +1,219 @@
+"""Connections to engines: one greenlet carries one forward over one connection and says how it ended.
+
+Every forward ends exactly once, in the module's words. What proves that nothing ran: no connection (unreachable), and
+the statuses that wire/engine.py lists. A reset, even before a byte of answer, proves nothing: the req was on the way.
+"""
+import gevent
+from gevent import socket
+
+from martenrouter.edge import clock
+from martenrouter.wire import engine as wire
+from martenrouter.wire import http
+
+CHUNK = 64 * 1024
+ANSWER_LIMIT = 1024 * 1024  # bytes of an answer that is not a stream
+
+
+class Stopped(gevent.GreenletExit):
+    """The forward was cancelled or timed out; its end has been said already."""
+
+
+class Broke(Exception):
+    """The connection or the answer failed; `ending` in the module's words."""
+
+    def __init__(self, ending, why):
+        super().__init__(why)
+        self.ending, self.why = ending, why
+
+
+class Engines:
+    def __init__(self, kept, connect_within, model, record, counters, log):
+        """`kept`: decisions.connections.Connections; `connect_within` in microseconds."""
+        self.kept, self.connect_within, self.model = kept, connect_within / 1e6, model
+        self.record, self.counters, self.log = record, counters, log
+        self.addresses = {}  # engine -> (host, port)
+
+    def moved(self, changed):
+        """News of addresses; connections to a process that left are closed."""
+        for id, told in changed.items():
+            host, _, port = (told or "").rpartition(":")
+            address = (host, int(port)) if told else None
+            if self.addresses.get(id) != address:
+                self._close(self.kept.forget(id))
+            if address:
+                self.addresses[id] = address
+            else:
+                self.addresses.pop(id, None)
+
+    def sweep(self):
+        self._close(self.kept.sweep(clock.now()))
+
+    def _close(self, connections):
+        for connection in connections:
+            connection.close()
+
+    def _connect(self, engine):
+        while True:
+            connection, closing = self.kept.take(clock.now(), engine)
+            self._close(closing)
+            if connection is None:
+                break
+            if _quiet(connection):
+                self.counters["connection_reused"] += 1
+                return connection
+            connection.close()  # the engine closed it, or sent what nobody asked for
+        address = self.addresses.get(engine)
+        if address is None:
+            raise Broke("unreachable", "no address")
+        try:
+            connection = socket.create_connection(address, timeout=self.connect_within)
+        except OSError as why:
+            raise Broke("unreachable", str(why)) from why
+        connection.settimeout(None)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.counters["connection_opened"] += 1
+        return connection
+
+    def carry(self, forward, hear):
+        """Runs in the forward's greenlet. `hear` takes first_token(forward), tokens(forward, texts) and
+        ended(forward, ending, note)."""
+        connection, clean = None, False
+        try:
+            connection = self._connect(forward.engine)
+            with gevent.Timeout(forward.time_out / 1e6 if forward.time_out else None) as patience:
+                ending, note, clean = self._talk(forward, connection, hear, patience)
+        except Stopped:
+            return
+        except gevent.Timeout:
+            ending, note = "timed out", 0
+        except Broke as why:
+            ending, note = why.ending, 0
+            self.log.debug("forward_broke", forward=forward.id, engine=forward.engine, ending=ending, why=why.why)
+        finally:
+            if connection is not None and not clean:
+                connection.close()
+        if clean:
+            self._close(self.kept.give(clock.now(), forward.engine, connection))
+        hear.ended(forward, ending, note)
+
+    def _talk(self, forward, connection, hear, patience):
+        r, host = forward.req, "%s:%d" % self.addresses.get(forward.engine, ("gone", 0))
+        if forward.role == "read":
+            data = wire.read(host, forward.id, r.trace, self.model, r.messages)
+        else:
+            data = wire.write(host, forward.id, r.trace, self.model, r.messages, r.max_tokens, forward.state, r.key,
+                              r.tools)
+        self.record("forward_out", forward=forward.id, req=r.id, engine=forward.engine, role=forward.role, trace=r.trace)
+        try:
+            connection.sendall(data)
+        except OSError as why:
+            raise Broke("reset", str(why)) from why
+        reader, head, body, events, finished = http.ResponseReader(), None, [], wire.Events(), False
+        size = 0
+        while True:
+            try:
+                data = connection.recv(CHUNK)
+            except OSError as why:
+                raise Broke("reset", str(why)) from why
+            if not data:
+                raise Broke("reset", "closed in mid-answer" if head else "closed without an answer")
+            try:
+                came = reader.feed(data)
+            except http.BadBytes as why:
+                raise Broke("error", "not HTTP: %s" % why) from why
+            texts = []
+            for event in came:
+                if event[0] == "head":
+                    head = event[1]
+                    forward.load = wire.load_of(head.headers)
+                elif event[0] == "body":
+                    if head.status == 200 and forward.role != "read":
+                        try:
+                            pieces = events.feed(event[1])
+                        except wire.BadAnswer as why:
+                            raise Broke("error", str(why)) from why
+                        finished = self._pieces(r, pieces, texts) or finished
+                    else:
+                        size += len(event[1])
+                        if size > ANSWER_LIMIT:
+                            raise Broke("error", "an answer over %d bytes" % ANSWER_LIMIT)
+                        body.append(event[1])
+                else:
+                    return self._end(forward, head, body, finished, texts, hear)
+            if texts:
+                if not forward.began:
+                    patience.close()
+                hear.tokens(forward, texts)
+
+    def _pieces(self, r, pieces, texts):
+        """Texts of an answer's pieces are put in `texts`; True when the answer said that it is whole."""
+        finished = False
+        for piece in pieces:
+            if piece is None:
+                finished = True
+                continue
+            if piece.usage is not None:
+                r.usage = piece.usage
+            for choice in piece.choices:
+                if choice.delta.content:
+                    texts.append(choice.delta.content)
+                if choice.finish_reason:
+                    r.finish = choice.finish_reason
+        return finished
+
+    def _end(self, forward, head, body, finished, texts, hear):
+        """(ending, note, whether the connection can be used again)."""
+        if head.status != 200:
+            return (*wire.ending_of(head), head.keep)
+        if forward.role != "read":
+            if texts:
+                hear.tokens(forward, texts)
+            if not finished:
+                raise Broke("reset", "the stream ended without a finish")
+            return "done", 0, head.keep
+        try:
+            answer = wire.read_answer(b"".join(body))
+        except wire.BadAnswer as why:
+            raise Broke("error", str(why)) from why
+        found = answer.usage.prompt_tokens_details.get("cached_tokens") or 0
+        hear.read(forward, answer.kv_transfer_params, answer.usage.prompt_tokens)
+        return "read", found if isinstance(found, int) else 0, head.keep
+
+    def let_go(self, engine, forward_id, trace):
+        """Runs in a greenlet of its own: a state, or a read that may still leave one, is let go."""
+        for last in (False, True):
+            connection, clean = None, False
+            try:
+                connection = self._connect(engine)
+                host = "%s:%d" % self.addresses.get(engine, ("gone", 0))
+                self.record("let_go_out", forward=forward_id, engine=engine, trace=trace)
+                with gevent.Timeout(self.connect_within * 4, Broke("timed out", "no word")):
+                    connection.sendall(wire.let_go(host, forward_id, trace))
+                    reader = http.ResponseReader()
+                    while not clean:
+                        data = connection.recv(CHUNK)
+                        if not data:
+                            raise Broke("reset", "closed")
+                        clean = any(event[0] == "end" for event in reader.feed(data))
+                self._close(self.kept.give(clock.now(), engine, connection))
+                return
+            except (Broke, OSError, http.BadBytes) as why:
+                if connection is not None:
+                    connection.close()
+                if last:
+                    self.counters["let_go_failed"] += 1
+                    self.log.info("let_go_failed", engine=engine, forward=forward_id, why=str(why))
+
+
+def _quiet(connection):
+    """Whether an idle connection has neither been closed by its peer nor sent anything."""
+    connection.setblocking(False)
+    try:
+        connection.recv(1, socket.MSG_PEEK)
+        return False
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    finally:
+        connection.settimeout(None)
--- /dev/null
+++ b/martenrouter/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: Jsonnet templates evaluated, validated against typed schemas."""
--- /dev/null
+++ b/martenrouter/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a process leaves on disk: traffic records, the last list of engines."""
--- /dev/null
+++ b/martenrouter/wire/http.py
@@ -0,0 +1,104 @@
+"""HTTP/1.1 messages (RFC 9112) as bytes in, events out; the parsing is httptools'.
+
+A reader is fed what a socket gave and returns what is complete by then: ("head", Head), ("body", bytes), ("end",).
+Bytes that are not HTTP raise BadBytes, after which the connection can only be closed.
+"""
+import httptools
+
+HEAD_LIMIT = 64 * 1024  # bytes of head lines a peer may send: servers in the field allow 8 to 64 KiB
+
+
+class BadBytes(Exception):
+    """What came is not HTTP/1.1, or its head is over the limit."""
+
+
+class Head:
+    __slots__ = ("status", "method", "path", "headers", "keep")
+
+    def __init__(self, status, method, path, headers, keep):
+        self.status, self.method, self.path, self.headers, self.keep = status, method, path, headers, keep
+
+
+class _Reader:
+    def __init__(self):
+        self._events, self._headers, self._size, self._path = [], {}, 0, b""
+        self._parser = self._new_parser()
+
+    def feed(self, data):
+        """`data`: bytes from the socket. Returns the events they complete; raises BadBytes."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as why:
+            raise BadBytes("the peer asked for another protocol") from why
+        except httptools.HttpParserError as why:
+            raise BadBytes(str(why) or type(why).__name__) from why
+        events, self._events = self._events, []
+        return events
+
+    def on_message_begin(self):
+        self._headers, self._size, self._path = {}, 0, b""
+
+    def on_url(self, url):
+        self._path += url
+
+    def on_header(self, name, value):
+        self._size += len(name) + len(value)
+        if self._size > HEAD_LIMIT:
+            raise httptools.HttpParserError("head lines over %d bytes" % HEAD_LIMIT)
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self):
+        self._events.append(("head", self._head()))
+
+    def on_body(self, data):
+        self._events.append(("body", data))
+
+    def on_message_complete(self):
+        self._events.append(("end",))
+
+
+class ResponseReader(_Reader):
+    """What an engine answers."""
+
+    def _new_parser(self):
+        return httptools.HttpResponseParser(self)
+
+    def _head(self):
+        parser = self._parser
+        return Head(parser.get_status_code(), None, None, self._headers, parser.should_keep_alive())
+
+
+class RequestReader(_Reader):
+    """What a client of HTTP sends."""
+
+    def _new_parser(self):
+        return httptools.HttpRequestParser(self)
+
+    def _head(self):
+        parser = self._parser
+        return Head(None, parser.get_method().decode("latin-1"), self._path.decode("latin-1"), self._headers,
+                    parser.should_keep_alive())
+
+
+PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 412: "Precondition Failed", 413: "Content Too Large",
+           429: "Too Many Requests", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+def request(method, path, host, headers, body=b""):
+    """One request as bytes. `headers`: pairs; the body's length is told."""
+    lines = ["%s %s HTTP/1.1" % (method, path), "host: %s" % host, "content-length: %d" % len(body)]
+    lines += ["%s: %s" % pair for pair in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def response(status, headers, body=b"", chunked=False):
+    """One response as bytes; with `chunked` only its head, the body follows by `chunk`."""
+    lines = ["HTTP/1.1 %d %s" % (status, PHRASES.get(status, "Status"))]
+    lines += ["%s: %s" % pair for pair in headers]
+    lines.append("transfer-encoding: chunked" if chunked else "content-length: %d" % len(body))
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (b"" if chunked else body)
+
+
+def chunk(data):
+    """A piece of a chunked body (RFC 9112, 7.1); empty data ends it."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
