--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -149,7 +149,7 @@
         r.deadline = now + settings_of.us(told.deadline_ms if told.deadline_ms is not None else group.deadline_ms)
         prefix, shared = None, 0
         if len(messages) > 1 and messages[0].role == "system":
-            prefix = xxhash.xxh64_hexdigest(messages[0].content or "")
+            prefix = xxhash.xxh64_hexdigest((messages[0].content or "").encode())
             shared = self.lengths.guess(group.name, sizes[0])
         hint = settings_of.us(told.expected_tokens * group.token_target_ms) if told.expected_tokens else None
         self.counters["taken"] += 1
--- /dev/null
+++ b/martenrouter/lab/scenario.py
@@ -0,0 +1,105 @@
+"""A scenario: a fleet, its traffic, and what goes wrong when. Jsonnet files, checked; times in seconds of the day."""
+import os
+import typing
+
+import msgspec
+
+from martenrouter.settings.load import BadSettings, checked, evaluate
+
+HERE = os.path.join(os.path.dirname(__file__), "scenarios")
+
+Kind = typing.Literal["hang", "slow", "refuse", "error", "reset_after", "stall_after", "no_finish", "garbage", "half_open",
+                      "forget", "link", "crash", "drain", "list_late", "list_silent", "list_back", "list_epoch",
+                      "front_kill", "burst"]
+
+
+class _Part(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    pass
+
+
+class Cell(_Part):
+    zone: str = "hall-1"
+    rd: int = 0
+    wr: int = 0
+    mix: int = 0
+
+
+class Traffic(_Part):
+    """What clients do. `shares`: part of the reqs by endpoint group, in the order of the settings' groups."""
+    rate: float = 15
+    shares: list[float] = msgspec.field(default_factory=lambda: [1.0])
+    openings: int = 4            # shared system prompts
+    opening_words: int = 120
+    turn_words: int = 40
+    go_on: float = 0.6           # chance that an arrival is the next turn of a session that waits
+    max_tokens: int = 64
+    deadline_ms: float = 6000
+    retries: int = 2             # after a pushback
+    cancel: float = 0            # share of reqs that the client cancels, and of those it leaves by closing
+    leave: float = 0
+    early: float = 0             # share with a deadline of a tenth
+
+
+class Fault(_Part):
+    """`target`: an engine (rd-0-1), a role (rd, wr, mix: one of it by the seed), a cell (cell-0), a front (front-1).
+    `value`: factor, tokens, milliseconds or count, as the kind needs. `again`: seconds after which a crashed engine or a
+    killed front is back."""
+    at: float
+    kind: Kind
+    target: str = ""
+    length: float = 2
+    value: float = 1
+    again: float = 1
+
+
+class Expect(_Part):
+    done_at_least: float = 0.0   # share of first tries and retries together
+    done_first_at_least: float = 0.0
+    answered_at_least: int = 1
+    aborted_at_most: float = 1.0
+
+
+class Scenario(_Part):
+    name: str
+    about: str
+    seconds: float = 8
+    fronts: int = 2
+    cells: list[Cell] = msgspec.field(default_factory=lambda: [Cell(rd=1, wr=1), Cell(rd=1, wr=1)])
+    reader: dict[str, typing.Any] = {}
+    writer: dict[str, typing.Any] = {}
+    list_late_ms: float = 300
+    traffic: Traffic = msgspec.field(default_factory=Traffic)
+    faults: list[Fault] = []
+    settings: dict[str, typing.Any] = {}
+    expect: Expect = msgspec.field(default_factory=Expect)
+
+
+def names():
+    return sorted(name[:-8] for name in os.listdir(HERE) if name.endswith(".jsonnet"))
+
+
+def load(name_or_path):
+    """A scenario of the repository by its name, or a file. Raises BadSettings."""
+    path = name_or_path if name_or_path.endswith(".jsonnet") else os.path.join(HERE, name_or_path + ".jsonnet")
+    if not os.path.exists(path):
+        raise BadSettings("no scenario %s; there are: %s" % (name_or_path, ", ".join(names())))
+    scenario = checked(evaluate(path), Scenario, path)
+    roles = {"rd", "wr", "mix", "list", ""}
+    engines = {id for id, _, _ in engines_of(scenario)}
+    cells, fronts = ({"%s-%d" % (what, i) for i in range(n)} for what, n in (("cell", len(scenario.cells)),
+                                                                           ("front", scenario.fronts)))
+    for i, fault in enumerate(scenario.faults):
+        if fault.target not in roles | engines | cells | fronts:
+            raise BadSettings("%s: at faults[%d].target: %r is none of the engines (%s), a role, a cell or a front"
+                              % (path, i, fault.target, ", ".join(sorted(engines))))
+        if fault.kind == "front_kill" and fault.target not in fronts:
+            raise BadSettings("%s: at faults[%d].target: front_kill needs a front, as in front-0" % (path, i))
+        if not 0 <= fault.at <= scenario.seconds:
+            raise BadSettings("%s: at faults[%d].at: is not within the day's %g s" % (path, i, scenario.seconds))
+    return scenario
+
+
+def engines_of(scenario):
+    """(id, role letter, cell) of each engine."""
+    return [("%s-%d-%d" % (kind, c, i), kind, c) for c, cell in enumerate(scenario.cells)
+            for kind in ("rd", "wr", "mix") for i in range(getattr(cell, kind))]
--- a/martenrouter/standins/answers.py
+++ b/martenrouter/standins/answers.py
@@ -24,11 +24,11 @@
 
 def length(seed, digest, max_tokens, usual=24):
     """Tokens of the answer: half to one and a half of the usual, never over the ceiling."""
-    return max(1, min(max_tokens, usual // 2 + xxhash.xxh32_intdigest("%s len %s" % (seed, digest)) % (usual + 1)))
+    return max(1, min(max_tokens, usual // 2 + xxhash.xxh32_intdigest(("%s len %s" % (seed, digest)).encode()) % (usual + 1)))
 
 
 def token(seed, digest, index):
-    return " " + xxhash.xxh32_hexdigest("%s %s %d" % (seed, digest, index))[:5]
+    return " " + xxhash.xxh32_hexdigest(("%s %s %d" % (seed, digest, index)).encode())[:5]
 
 
 def answer(seed, messages, max_tokens, usual=24):
--- /dev/null
+++ b/martenrouter/standins/clients.py
@@ -0,0 +1,169 @@
+"""Scripted clients: open-loop arrivals that don't wait for answers, sessions with growing prompts, retries as told, and
+a record of every message. What they do follows from the seed; when answers come does not.
+"""
+import gevent
+from gevent import GreenletExit
+
+from martenrouter.edge.client import Client, Left
+from martenrouter.wire import jsonrpc
+
+WORDS = ("radiator meter valve boiler reading bill flow return pump hall pipe heat pressure window night cold warm room "
+         "building floor manager autumn winter morning report number please check why slow when today").split()
+
+
+class Session:
+    def __init__(self, id, opening):
+        self.id, self.messages = id, [{"role": "system", "content": opening}]
+
+
+class Clients:
+    def __init__(self, fronts, traffic, groups, random, record, connections=2):
+        """`fronts`: name -> (host, port); `groups`: dicts with name and effect; `random`: a seeded generator; `record`
+        takes every message."""
+        self.fronts, self.traffic, self.groups, self.random, self.record = fronts, traffic, groups, random, record
+        self.connections, self.links, self.count = connections, {}, 0
+        self.openings = [self._words(traffic.opening_words) for _ in range(traffic.openings)]
+        self.idle, self.sessions, self.open, self.conns = [], 0, set(), 0
+        self.burst = 1.0
+
+    def _words(self, count):
+        return " ".join(self.random.choice(WORDS) for _ in range(max(int(count * self.random.uniform(0.5, 1.5)), 1)))
+
+    def run(self, seconds):
+        """Arrivals for `seconds`; returns when the last one is off. `drain` waits for what is open."""
+        until = gevent.get_hub().loop.now() + seconds
+        gevent.get_hub().loop.update_now()
+        due = until - seconds
+        while True:
+            due += self.random.expovariate(self.traffic.rate * self.burst)
+            if due >= until:
+                return
+            gevent.get_hub().loop.update_now()
+            wait = due - gevent.get_hub().loop.now()
+            if wait > 0:
+                gevent.sleep(wait)
+            self._arrive()
+
+    def drain(self, within):
+        """Waits for the open reqs; returns how many are left after `within` seconds."""
+        gevent.joinall(list(self.open), timeout=within)
+        left = len(self.open)
+        gevent.killall(list(self.open))
+        for client in self.links.values():
+            client.close()
+        return left
+
+    def _arrive(self):
+        rnd, traffic = self.random, self.traffic
+        group = rnd.choices(range(len(traffic.shares)), traffic.shares)[0]
+        if self.idle and rnd.random() < traffic.go_on:
+            session = self.idle.pop(rnd.randrange(len(self.idle)))
+        else:
+            self.sessions += 1
+            session = Session("s%d" % self.sessions, rnd.choice(self.openings))
+        text, trace = self._words(traffic.turn_words), "%032x" % rnd.getrandbits(128)
+        early, how, after = rnd.random() < traffic.early, rnd.random(), rnd.uniform(0.02, 1.0)
+        leave = "cancel" if how < traffic.cancel else "close" if how < traffic.cancel + traffic.leave else None
+        front = rnd.choice(sorted(self.fronts))
+        greenlet = gevent.spawn(self._ask, session, self.groups[group], text, trace, early, leave, after, front)
+        self.open.add(greenlet)
+        greenlet.link(self.open.discard)
+
+    def _link(self, front, own):
+        """A connection to a front: one of a few shared ones, or an own one. Raises OSError."""
+        key = (front, self.count % self.connections)
+        self.count += 1
+        if not own and key in self.links and self.links[key].open:
+            return self.links[key]
+        self.conns += 1
+        client = Client(self.fronts[front])
+        client.conn_id = self.conns
+        client.heard = lambda message: self._heard(client, message)
+        client.traces = {}
+        if not own:
+            old = self.links.get(key)
+            if old is not None and old.open:  # another greenlet was quicker
+                client.close()
+                return old
+            self.links[key] = client
+        return client
+
+    def _heard(self, client, message):
+        if message.get("method") == "generate/token":
+            params = message["params"]
+            self.record("token_in", conn=client.conn_id, trace=client.traces.get(params.get("id")), **params)
+        elif "method" not in message:
+            error = message.get("error") or {}
+            data = error.get("data") or {}
+            ending = {jsonrpc.PUSHED_BACK: "pushed back", jsonrpc.ABORTED: "aborted"}.get(
+                error.get("code"), "error" if error else "done")
+            told = message.get("result") if isinstance(message.get("result"), dict) else {}
+            self.record("final_in", conn=client.conn_id, id=message.get("id"), trace=client.traces.get(message.get("id")),
+                        ending=ending, code=error.get("code"), reason=data.get("reason") or error.get("message"),
+                        return_after_ms=data.get("return_after_ms"), tokens=told.get("tokens"))
+
+    def _ask(self, session, group, text, trace, early, leave, after, front):
+        session.messages.append({"role": "user", "content": text})
+        deadline = self.traffic.deadline_ms / (10 if early else 1)
+        names = sorted(self.fronts)
+        for attempt in range(self.traffic.retries + 1):
+            this = "%s%02x" % (trace[:30], attempt)
+            answer, texts = self._try(session, group, this, trace, deadline, leave, after, front)
+            if answer is None or "error" not in answer:
+                break
+            wait = (answer["error"].get("data") or {}).get("return_after_ms") or 200
+            if answer["error"]["code"] != jsonrpc.PUSHED_BACK or leave:
+                break
+            gevent.sleep(min(wait, 3000) / 1000)
+            front = names[(names.index(front) + 1) % len(names)]
+        if answer is not None and "result" in answer:
+            session.messages.append({"role": "assistant", "content": "".join(texts)})
+            if len(session.messages) < 9:
+                self.idle.append(session)
+
+    def _try(self, session, group, trace, key, deadline, leave, after, front):
+        """(answer or None, texts): one call of generate, recorded."""
+        texts = []
+        try:
+            client = self._link(front, leave == "close")
+        except OSError as why:
+            self.record("no_front", front=front, trace=trace, why=str(why))
+            gevent.sleep(0.3)
+            return {"error": {"code": jsonrpc.PUSHED_BACK}}, texts
+        params = {"messages": list(session.messages), "group": group["name"], "session": session.id,
+                  "max_tokens": self.traffic.max_tokens, "deadline_ms": deadline, "trace": "00-%s-%s-01" % (trace, trace[:16])}
+        if group["effect"] == "keyed":
+            params["key"] = key
+        client.last += 1
+        id = client.last
+        client.traces[id] = trace
+        self.record("req_out", trace=trace, front=front, conn=client.conn_id, id=id, group=group["name"],
+                    deadline_ms=deadline, messages=params["messages"], max_tokens=params["max_tokens"])
+        leaver = gevent.spawn_later(after, self._leave, client, id, trace, leave) if leave else None
+        try:
+            client.begin("generate", params, lambda index, more: texts.extend(more), id)
+            return client.wait(id, deadline / 1000 + 5), texts
+        except Left as why:
+            if leave != "close":
+                self.record("conn_lost", trace=trace, front=front, conn=client.conn_id, why=str(why))
+            return None, texts
+        except (gevent.Timeout, GreenletExit):
+            self.record("unanswered", trace=trace, front=front)
+            return None, texts
+        finally:
+            if leaver:
+                leaver.kill(block=False)
+            if leave == "close":
+                client.close()
+
+    def _leave(self, client, id, trace, leave):
+        if id not in client.calls or client.calls[id].ready():
+            return
+        self.record("left", trace=trace, how=leave)
+        try:
+            if leave == "cancel":
+                client.cancel(id)
+            else:
+                client.close()
+        except Left:
+            pass
--- a/martenrouter/standins/engine.py
+++ b/martenrouter/standins/engine.py
@@ -120,8 +120,11 @@
                 self._generate(sock, head, told)
             else:
                 sock.sendall(http.response(404, (JSON,), b"{}"))
-        except (OSError, msgspec.MsgspecError, KeyError):
+        except OSError:
             sock.close()
+        except (msgspec.MsgspecError, KeyError, TypeError, AttributeError) as why:
+            self.record("bad_request", why=str(why))
+            sock.sendall(http.response(400, (JSON,), b"{}"))
 
     def _control(self, told):
         faults = msgspec.convert(told, Faults)
@@ -199,8 +202,9 @@
                 self._answer_write(sock, job, events, state)
         finally:
             del self.waiting[id]
-            if not (reads and job.state in ("waiting", "moving")):
-                self.model.drop(now(), id)  # its client left, or it is done
+            if id in self.model.jobs and not (reads and job.state in ("waiting", "moving")):
+                self.model.drop(now(), id)
+                self.record("dropped", forward=id)  # its client left, or a fault ended it
             self._poke()
 
     def _refuse(self, sock, id, status, headers):
