--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -17,9 +17,11 @@
 from martenrouter.wire import http, nodes
 
 ROLES = {"rd": "read", "wr": "write", "mix": "both"}
-# Small engines, so that a few laptop processes feel load: a reader of 20,000 tokens a second, writers of a dozen answers.
-SPECS = {"rd": {"slots": 6, "queue": 32, "memory_tokens": 60_000}, "wr": {"slots": 12, "queue": 16, "memory_tokens": 30_000},
-         "mix": {"slots": 8, "queue": 16, "memory_tokens": 40_000}}
+# Small and slow engines, so that a few processes on one machine feel load: readers of some 6,000 tokens a second,
+# writers of a dozen answers at a token each 18 ms.
+SPECS = {"rd": {"slots": 6, "queue": 32, "memory_tokens": 60_000, "step_us": 5000, "read_us": 150, "usual_answer": 40},
+         "wr": {"slots": 14, "queue": 16, "memory_tokens": 30_000, "step_us": 15_000, "usual_answer": 40},
+         "mix": {"slots": 8, "queue": 16, "memory_tokens": 40_000, "step_us": 15_000, "usual_answer": 40}}
 WARM_UP = {"cold_share": 0.3, "warm_within_us": 5_000_000, "fall_multiple": 4.0, "fall_window_us": 3_000_000}
 GROUPS = [{"name": "chat", "effect": "replayable", "importance": 1},
           {"name": "booking", "effect": "keyed", "repeat_scope": "cell", "repeat_window_ms": 4000, "importance": 2},
--- /dev/null
+++ b/martenrouter/lab/scenarios/error.jsonnet
@@ -0,0 +1,9 @@
+// a reader answers with errors
+{
+  name: 'error',
+  about: 'a reader answers with errors',
+  seconds: 8,
+  traffic: { rate: 12, shares: [0.6, 0.25, 0.15] },
+  faults: [{ at: 2, kind: 'error', target: 'rd', length: 3 }],
+  expect: { done_at_least: 0.6, answered_at_least: 50 },
+}
