Mutants: fronts that break a rule each are named by the judge

A judge that never speaks proves nothing. Eight patched fronts (answers twice, forgets to answer, forwards after the answer, sends twice, ignores drains, floods a cold engine, lets nothing go, spoils tokens) are each found by the rule's name from the traffic; the honest one is not.

--- a/martenrouter/standins/clients.py
+++ b/martenrouter/standins/clients.py
@@ -25,6 +25,7 @@
         self.openings = [self._words(traffic.opening_words) for _ in range(traffic.openings)]
         self.idle, self.sessions, self.open, self.conns = [], 0, set(), 0
         self.burst = 1.0
+        self.left = set()
 
     def _words(self, count):
         return " ".join(self.random.choice(WORDS) for _ in range(max(int(count * self.random.uniform(0.5, 1.5)), 1)))
@@ -144,7 +145,7 @@
             client.begin("generate", params, lambda index, more: texts.extend(more), id)
             return client.wait(id, deadline / 1000 + 5), texts
         except Left as why:
-            if leave != "close":
+            if trace not in self.left:
                 self.record("conn_lost", trace=trace, front=front, conn=client.conn_id, why=str(why))
             return None, texts
         except (gevent.Timeout, GreenletExit):
@@ -159,6 +160,7 @@
     def _leave(self, client, id, trace, leave):
         if id not in client.calls or client.calls[id].ready():
             return
+        self.left.add(trace)
         self.record("left", trace=trace, how=leave)
         try:
             if leave == "cancel":
--- /dev/null
+++ b/tests/sockets/test_judge_catches.py
@@ -0,0 +1,71 @@
+"""A front that breaks a rule is found out from the traffic, by the rule's name; an honest one on the same day is not."""
+import shutil
+import sys
+import tempfile
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+import subprocess
+
+from martenrouter.lab.scenario import Cell, Fault, Scenario, Traffic
+
+# mutant -> (rule it breaks, the day on which it has the chance)
+BASE = dict(seconds=4, cells=[{"rd": 1, "wr": 1}, {"rd": 1, "wr": 1}])
+TRAFFIC = {"rate": 12, "shares": [0.5, 0.25, 0.25], "deadline_ms": 3000}
+DAYS = {
+    "honest": (None, [], {}),
+    "answers_twice": ("one answer", [], {}),
+    "forgets_to_answer": ("one answer", [], {}),
+    "forwards_after_the_answer": ("one answer", [], {}),
+    "sends_twice": ("no double effect", [{"at": 0.5, "kind": "garbage", "target": "wr-0-0", "length": 3},
+                                         {"at": 0.5, "kind": "hang", "target": "wr-1-0", "length": 2}], {}),
+    "ignores_drains": ("drains kept", [{"at": 0.3, "kind": "drain", "target": "wr-0-0", "length": 6}], {}),
+    "floods_the_cold": ("cold spared", [{"at": 0.3, "kind": "crash", "target": "rd", "again": 0.1}],
+                        {"reader": {"cold_share": 0.02, "warm_within_us": 20_000_000, "fall_multiple": 1.2,
+                                    "fall_window_us": 1_500_000}}),
+    "lets_nothing_go": ("nothing pinned", [{"at": 0.5, "kind": "refuse", "target": "wr-0-0", "length": 3},
+                                           {"at": 0.5, "kind": "refuse", "target": "wr-1-0", "length": 3}], {}),
+    "spoils_tokens": ("tokens right", [], {}),
+}
+
+
+def play(name):
+    rule, faults, extra = DAYS[name]
+    code = ("import sys, json, tempfile, msgspec\n"
+            "from martenrouter.lab.scenario import Scenario\n"
+            "from martenrouter.lab.rehearse import Rehearsal\n"
+            "from martenrouter.lab.verdict import verdict\n"
+            "day = msgspec.convert(json.loads(sys.argv[1]), Scenario)\n"
+            "command = json.loads(sys.argv[2])\n"
+            "r = Rehearsal(day, 3, sys.argv[3], front_command=command)\n"
+            "codes = r.play()\n"
+            "told, _ = verdict(sys.argv[3], day.expect)\n"
+            "print(json.dumps(told))\n")
+    import json
+    day = {"name": name, "about": "", **BASE, "traffic": TRAFFIC, "faults": faults, **extra}
+    command = None if name == "honest" else [sys.executable, "-m", "tests.sockets.mutants", name]
+    directory = tempfile.mkdtemp()
+    try:
+        done = subprocess.run([sys.executable, "-c", code, json.dumps(day), json.dumps(command), directory],
+                              capture_output=True, text=True, timeout=60)
+        if done.returncode:
+            raise AssertionError("%s: %s" % (name, done.stderr[-2000:]))
+        return json.loads(done.stdout)
+    finally:
+        shutil.rmtree(directory, ignore_errors=True)
+
+
+class Mutants(unittest.TestCase):
+    def test_each_rule_broken_is_named(self):
+        with ThreadPoolExecutor(3) as pool:
+            told = dict(zip(DAYS, pool.map(play, DAYS)))
+        for name, (rule, _, _) in DAYS.items():
+            with self.subTest(front=name):
+                broken = [one for one, found in told[name]["rules"].items() if not found["kept"]]
+                if rule is None:
+                    self.assertEqual(broken, [], told[name]["rules"])
+                else:
+                    self.assertIn(rule, broken, told[name]["figures"])
+
+
+if __name__ == "__main__":
+    unittest.main()
