--- a/martenrouter/edge/door.py
+++ b/martenrouter/edge/door.py
@@ -175,6 +175,8 @@
 
     def _accepted(self, sock, _):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # what the kernel holds for a client that doesn't read is unsent too; left alone it grows to megabytes
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, min(self.unsent_limit, 256 * 1024))
         self._last += 1
         conn = self.conns[self._last] = Conn(self._last, sock, self)
         try:
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -99,8 +99,7 @@
                         "list": {"service": "127.0.0.1:%d" % list_port, "keep": os.path.join(self.logs, name + ".list")},
                         "kinds": [{"name": kind, "role": role, "memory_tokens": SPECS[kind]["memory_tokens"]}
                                   for kind, role in ROLES.items()],
-                        "cold": {"share": WARM_UP["cold_share"], "warm_within_ms": WARM_UP["warm_within_us"] / 1000,
-                                 "multiple": WARM_UP["fall_multiple"], "window_ms": WARM_UP["fall_window_us"] / 1000},
+                        "cold": self._cold(),
                         "log": {"form": "json", "level": "info"},
                         **{key: value for key, value in scenario.settings.items() if key != "groups"}}
             settings_of.check(settings, scenario.name)
@@ -120,6 +119,13 @@
             self.processes["front-%d" % i].wait_for(self.addresses["front-%d" % i])
         gevent.sleep(scenario.list_late_ms / 1000 + 0.3)
 
+    def _cold(self):
+        """What the fronts are told of cold engines: the weakest of the fleet, as an operator would write it."""
+        specs = list(self.specs.values())
+        return {"share": min(spec.cold_share for spec in specs), "multiple": min(spec.fall_multiple for spec in specs),
+                "warm_within_ms": max(spec.warm_within_us for spec in specs) / 1000,
+                "window_ms": min(spec.fall_window_us for spec in specs) / 1000}
+
     def _process(self, name, arguments, command=None):
         process = Process(name, arguments, os.path.join(self.logs, name + ".log"), command)
         self.processes[name] = process
--- a/tests/sockets/test_judge_catches.py
+++ b/tests/sockets/test_judge_catches.py
@@ -1,27 +1,26 @@
 """A front that breaks a rule is found out from the traffic, by the rule's name; an honest one on the same day is not."""
+import json
 import shutil
+import subprocess
 import sys
 import tempfile
 import unittest
 from concurrent.futures import ThreadPoolExecutor
-import subprocess
-
-from martenrouter.lab.scenario import Cell, Fault, Scenario, Traffic
 
 # mutant -> (rule it breaks, the day on which it has the chance)
 BASE = dict(seconds=4, cells=[{"rd": 1, "wr": 1}, {"rd": 1, "wr": 1}])
 TRAFFIC = {"rate": 12, "shares": [0.5, 0.25, 0.25], "deadline_ms": 3000}
+COLD = {"reader": {"cold_share": 0.02, "warm_within_us": 20_000_000, "fall_multiple": 1.2, "fall_window_us": 1_500_000}}
 DAYS = {
     "honest": (None, [], {}),
+    "honest on the cold day": (None, [{"at": 0.3, "kind": "crash", "target": "rd", "again": 0.1}], COLD),
     "answers_twice": ("one answer", [], {}),
     "forgets_to_answer": ("one answer", [], {}),
     "forwards_after_the_answer": ("one answer", [], {}),
     "sends_twice": ("no double effect", [{"at": 0.5, "kind": "garbage", "target": "wr-0-0", "length": 3},
                                          {"at": 0.5, "kind": "hang", "target": "wr-1-0", "length": 2}], {}),
     "ignores_drains": ("drains kept", [{"at": 0.3, "kind": "drain", "target": "wr-0-0", "length": 6}], {}),
-    "floods_the_cold": ("cold spared", [{"at": 0.3, "kind": "crash", "target": "rd", "again": 0.1}],
-                        {"reader": {"cold_share": 0.02, "warm_within_us": 20_000_000, "fall_multiple": 1.2,
-                                    "fall_window_us": 1_500_000}}),
+    "floods_the_cold": ("cold spared", [{"at": 0.3, "kind": "crash", "target": "rd", "again": 0.1}], COLD),
     "lets_nothing_go": ("nothing pinned", [{"at": 0.5, "kind": "refuse", "target": "wr-0-0", "length": 3},
                                            {"at": 0.5, "kind": "refuse", "target": "wr-1-0", "length": 3}], {}),
     "spoils_tokens": ("tokens right", [], {}),
@@ -40,9 +39,8 @@
             "codes = r.play()\n"
             "told, _ = verdict(sys.argv[3], day.expect)\n"
             "print(json.dumps(told))\n")
-    import json
     day = {"name": name, "about": "", **BASE, "traffic": TRAFFIC, "faults": faults, **extra}
-    command = None if name == "honest" else [sys.executable, "-m", "tests.sockets.mutants", name]
+    command = None if name.startswith("honest") else [sys.executable, "-m", "tests.sockets.mutants", name]
     directory = tempfile.mkdtemp()
     try:
         done = subprocess.run([sys.executable, "-c", code, json.dumps(day), json.dumps(command), directory],
