--- a/martenrouter/standins/model.py
+++ b/martenrouter/standins/model.py
@@ -105,7 +105,8 @@
         self.kept = collections.OrderedDict()  # hash of a prompt's beginning -> its tokens
         self.links = {"port": Link(spec.port_per_s), "out": Link(spec.link_per_s)}
         self.step_end, self.step_reads = None, {}
-        self.slow, self.hung, self.draining, self.fallen = 1.0, False, False, False
+        self.slow, self.hung, self.draining, self.fallen, self.fall_told = 1.0, False, False, False, False
+        self._to_fetch = []      # writes that have a place and now need their state
         self.received = collections.deque()  # (time, work) while it warms up
         self.report, self.report_at = (0.0, 0, 0), now
         self.now = now
@@ -185,7 +186,9 @@
     # ---- time ----
 
     def next_at(self):
-        if self.hung or self.fallen:
+        if self.fallen:
+            return None if self.fall_told else self.now
+        if self.hung:
             return None
         times = [time for time in (self.step_end, *(link.next_at() for link in self.links.values())) if time is not None]
         return min(times, default=None)
@@ -195,6 +198,10 @@
 
     def advance(self, now):
         events = []
+        self.advance_clock(now)
+        if self.fallen and not self.fall_told:
+            self.fall_told = True
+            events.append(("fell",))
         if self.hung or self.fallen:
             return events
         for link in self.links.values():
@@ -211,12 +218,8 @@
         self._start(now)
         events += [("fetch", job.id) for job in self._to_fetch]
         self._to_fetch = []
-        if self.fallen:
-            events.append(("fell",))
         return events
 
-    _to_fetch = ()
-
     # ---- steps ----
 
     def _felt(self, now, job):
@@ -243,7 +246,7 @@
             self.running.append(job)
             if job.kind == "write" and not job.produced and not job.left:
                 job.state = FETCHING
-                self._to_fetch = [*self._to_fetch, job]
+                self._to_fetch.append(job)
             else:
                 job.state = RUNNING
                 job.found = self._found(job) if job.kind != "write" else 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,7 +11,7 @@
 
 class Seen(list):
     def __getattr__(self, name):
-        return lambda *args: self.append((name,) + args)
+        return lambda *args, **_: self.append((name,) + args)
 
     def all(self, name):
         return [row[1:] for row in self if row[0] == name]
