--- a/martenrouter/cli/standin.py
+++ b/martenrouter/cli/standin.py
@@ -59,6 +59,35 @@
     _serve(service, "list service", with_stdin and stop_with_stdin)
 
 
+@command.command("client")
+@click.option("--front", "fronts", multiple=True, default=["127.0.0.1:7801"], show_default=True, metavar="HOST:PORT")
+@click.option("--group", default="chat", show_default=True, help="Endpoint group that its reqs name.")
+@click.option("--rate", default=5.0, show_default=True, help="Reqs a second, whatever the answers do.")
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--records", default=None, type=click.Path())
+def client(fronts, group, rate, seconds, seed, records):
+    """Scripted clients: sessions with growing prompts, retries as told."""
+    import collections
+    import random
+
+    from martenrouter.lab.scenario import Traffic
+    from martenrouter.settings.front import address
+    from martenrouter.standins.clients import Clients
+    from martenrouter.state.records import recorder
+    counts, write = collections.Counter(), recorder(records, "clients")
+
+    def record(ev, **fields):
+        counts[fields["ending"] if ev == "final_in" else ev] += 1
+        write(ev, **fields)
+    named = {"front-%d" % i: address(text, "--front") for i, text in enumerate(fronts)}
+    clients = Clients(named, Traffic(rate=rate), [{"name": group, "effect": "replayable"}], random.Random(seed), record)
+    clients.run(seconds)
+    counts["unanswered"] += clients.drain(15)
+    for name, count in sorted(counts.items()):
+        click.echo("%6d  %s" % (count, name))
+
+
 def _serve(server, name, stop_with_stdin):
     import gevent
     if stop_with_stdin:
--- a/tests/sockets/test_judge_catches.py
+++ b/tests/sockets/test_judge_catches.py
@@ -1,9 +1,11 @@
 """A front that breaks a rule is found out from the traffic, by the rule's name; an honest one on the same day is not."""
 import json
+import os
 import shutil
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -52,6 +54,32 @@
         shutil.rmtree(directory, ignore_errors=True)
 
 
+class Leftovers(unittest.TestCase):
+    def test_a_rehearsal_that_is_killed_leaves_no_process(self):
+        records = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, records, True)
+        popen = subprocess.Popen([sys.executable, "-m", "martenrouter", "rehearse", "quiet", "--quiet", "--records", records])
+        until = time.monotonic() + 20
+        while time.monotonic() < until and not os.path.exists(os.path.join(records, "clients.jsonl")):
+            time.sleep(0.05)
+        popen.kill()
+        popen.wait()
+        while time.monotonic() < until and self.running(records):
+            time.sleep(0.05)
+        self.assertEqual(self.running(records), [])
+
+    def running(self, word):
+        found = []
+        for pid in filter(str.isdigit, os.listdir("/proc")):
+            try:
+                with open("/proc/%s/cmdline" % pid, "rb") as file:
+                    if word.encode() in file.read():
+                        found.append(pid)
+            except OSError:
+                pass
+        return found
+
+
 class Mutants(unittest.TestCase):
     def test_each_rule_broken_is_named(self):
         with ThreadPoolExecutor(3) as pool:
