Conversations: answers pause for tools, go on here, near or anew; broken streams are read anew

A replayable stream that breaks is now read anew with its answer so far, twice at most, where it was pushed back before. Keys join an open answer or give a kept one again.

--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -1,17 +1,22 @@
-"""All decisions of one front, called once a round: admission, the module, begun streams, the stop.
+"""All decisions of one front, called once a round: admission, the module, begun streams, conversations, the stop.
 
 `Chain.turn(now, inbox, out)` is called like the module and takes its calls, and besides:
 
     arrived(id, …, connection)   the module's `arrived` with the deadline of the whole answer and the connection after it
     flowed(counts)               tokens of begun streams since the last round
     swamped(id)                  a client reads too slowly
+    call(id, call, name, repeatable)           a tool call is whole while its step still streams
+    step(id, n, engine, elapsed, load, held, calls, prompt, left)   a step ended with tool calls; held: its state is kept
+    changed(id, call)            the step, written anew, asks for something else at that call's place
+    tool(id, call, prompt, left)               a call has its result; prompt: tokens of the answer so far with all results
     stop()                       nothing new from now on
 
-`out` takes the module's decisions, and besides: `push_back` and `abort` with a reason as a further argument, and
-`end_stream(id, n)`, which closes a begun forward. One logic decides wherever it runs: the edge's own process, a planner,
-the laboratory.
+`out` takes the module's decisions, and besides: `push_back` and `abort` with a reason as a further argument,
+`end_stream(id, n)`, which closes a begun forward, and what decisions/conversations.py names. Ids of forwards' reqs are leg
+ids. One logic decides wherever it runs: the edge's own process, a planner, the laboratory.
 """
 from martenrouter.decisions.admission import Admission
+from martenrouter.decisions.conversations import Conversations, leg_id, req_of
 from martenrouter.decisions.streams import Streams
 from martenrouter.rules import Front
 
@@ -22,8 +27,10 @@
     def __init__(self, seed, module_settings, settings):
         self.front = Front(seed, module_settings)
         self.admission, self.streams = Admission(settings), Streams(settings)
+        self.talks = Conversations(settings)
         self.settings, self.groups = settings, settings["groups"]
         self.whole = {}      # open req -> (group, deadline of the whole answer)
+        self.next_legs = []  # calls of the module that begin legs found due in this round
         self.stop_by = None
         self.looked, self.wake_at = 0, 0
         self.stream_due = None  # when a begun stream is next to be looked at; computed at each look, not each round
@@ -38,6 +45,15 @@
         if inner or self.front.live:
             self.front.turn(now, inner, _Reasons(self))
         self._look_at_streams()
+        self._look_at_talks()
+        if self.next_legs:
+            begun, self.next_legs = self.next_legs, []
+            # one that left in the round in which its stream broke or its last result came gets no further leg
+            inner = [one for one in begun if req_of(one[1][0]) in self.talks.talks]
+            for call, told in begun:
+                if call == "resumed" and req_of(told[0]) not in self.talks.talks:
+                    out.let_go(told[0])
+            self.front.turn(now, inner, _Reasons(self))
         if self.stop_by is not None and now >= self.stop_by:
             self._end_all()
         self._set_wake()
@@ -51,14 +67,20 @@
             self.out.push_back(id, refused[1], refused[0])
             return False
         self.whole[id] = group, deadline
-        first = self.now + self.groups[group]["first_token_within"]
-        inner.append(("arrived", (id, group, customer, session, min(deadline, first), hint, prefix, prompt, shared,
-                                  max_out, flags)))
+        self.talks.begun(self.now, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags)
+        inner.append(("arrived", self._told(self.talks.talks[id], id)))
         return False
 
+    def _told(self, talk, leg):
+        """What the module is told of a leg: its deadline is that of the first token."""
+        first = self.now + self.groups[talk.group]["first_token_within"]
+        return (leg, talk.group, talk.customer, talk.session, min(talk.deadline, first), talk.hint, talk.prefix,
+                talk.prompt, talk.shared, talk.max_out, talk.flags)
+
     def _first_token(self, inner, id, n, engine, elapsed):
-        if id in self.whole:
-            group, deadline = self.whole[id]
+        talk = self.talks.talks.get(req_of(id))
+        if talk and id == leg_id(talk.id, talk.leg):
+            group, deadline = self.whole[talk.id]
             self.streams.began(self.now, id, group, deadline, engine, n)
             if self.stream_due is not None and deadline < self.stream_due:
                 self.stream_due = None  # a deadline before the next look
@@ -70,29 +92,96 @@
             if ending == "done":
                 self.streams.ended(id)
             else:
-                # a begun stream that breaks can't be taken up elsewhere: its req ends with it
-                self._give_up(id, self.streams.broke(self.now, id, ending))
-                final = True
+                final = True  # for the module: what follows is another leg, or nothing
+                self._broke(id, self.streams.broke(self.now, id, ending))
         if ending == "done":
             self._closed(id)
         inner.append(("outcome", (id, n, ending, engine, elapsed, final, note, load)))
         return False
 
     def _gone(self, inner, id):
-        self.streams.ended(id)
+        talk = self.talks.talks.get(req_of(id))
+        leg = leg_id(req_of(id), talk.leg) if talk else id
+        self.streams.ended(leg)
+        if talk and talk.holder:
+            self.out.let_go(leg)
         self._closed(id)
-        return True
+        inner.append(("gone", (leg,)))
+        return False
 
     def _flowed(self, inner, counts):
         self.streams.flowed(self.now, counts)
+        for leg, count in counts.items():
+            talk = self.talks.talks.get(req_of(leg))
+            if talk:
+                talk.flowed += count
         return False
 
     def _swamped(self, inner, id):
-        stream = self.streams.open.get(id)
+        talk = self.talks.talks.get(id)
+        leg = leg_id(id, talk.leg) if talk else id
+        stream = self.streams.open.get(leg)
         if stream:
-            n = stream[3]
-            self._give_up(id, self.streams.swamped(self.now, id))
-            self.out.end_stream(id, n)
+            answer = self.streams.swamped(self.now, leg)
+            self._give_up(leg, answer)
+            self.out.end_stream(leg, stream[3])
+        elif talk:
+            self._end_talk(talk, "client reads too slowly")
+        return False
+
+    def _call(self, inner, id, call, name, repeatable):
+        talk = self.talks.talks.get(req_of(id))
+        if talk:
+            self.talks.early_call(talk, call, name, repeatable)
+        return False
+
+    def _changed(self, inner, id, call):
+        """Written anew, a step asks for something else where `call` stood. With effects it is run and can't be unrun:
+        an answer that doesn't show it must not go on."""
+        talk = self.talks.talks.get(id)
+        old = talk and talk.calls.get(call)
+        if old is None:
+            return False
+        if old.state == "queued" or old.repeatable:
+            self.talks.answered(self.now, talk, call)
+        else:
+            leg = leg_id(id, talk.leg)
+            stream = self.streams.open.pop(leg, None)
+            self._give_up(leg, (False, "another tool asked for after one with effects", 0))
+            if stream:
+                self.out.end_stream(leg, stream[3])
+        return False
+
+    def _step(self, inner, id, n, engine, elapsed, load, held, calls, prompt, left):
+        """To the module the leg is done; the conversation pauses."""
+        inner.append(("outcome", (id, n, "done", engine, elapsed, True, 0, load)))
+        self.streams.ended(id)
+        talk = self.talks.talks.get(req_of(id))
+        if talk is None or id != leg_id(talk.id, talk.leg):
+            if held:
+                self.out.let_go(id)
+            return False
+        known = self.front.engines.get(engine)
+        self.front.now = self.now
+        room = max(self.front.room(known), 0) / known.memory if known and known.memory else 1.0
+        self.front.same.clear()
+        talk.prompt, talk.max_out = prompt, left
+        why = self.talks.step_ended(self.now, talk, engine, known.born if known else 0, held, room, calls)
+        if why:
+            talk.holder = engine if held else None
+            self._end_talk(talk, why)
+        elif self.talks.ready(talk):
+            self._go_on(talk)  # asked again for what is recorded: nothing to wait for
+        elif held and talk.holder is None:
+            self.out.let_go(id)
+        return False
+
+    def _tool(self, inner, id, call, prompt, left):
+        talk = self.talks.talks.get(id)
+        if talk:
+            talk.prompt, talk.max_out = (prompt, left) if self.talks.ready(talk) or prompt else (talk.prompt, talk.max_out)
+            if self.talks.answered(self.now, talk, call):
+                self._go_on(talk)
         return False
 
     def _stop(self, inner):
@@ -106,23 +195,87 @@
     # ---- how it is decided ----
 
     def _closed(self, id):
+        id = req_of(id)
         self.whole.pop(id, None)
+        self.talks.ended(id)
         self.admission.ended_one(self.now, id)
 
     def _give_up(self, id, answer):
+        """The final answer, for whichever leg it is given up."""
         harmless, reason, wait = answer
+        talk = self.talks.talks.get(req_of(id))
+        if talk and not self.talks.harmless(talk):
+            harmless = False
         if harmless:
             self.out.push_back(id, wait, reason)
         else:
             self.out.abort(id, reason)
         self._closed(id)
 
+    def _broke(self, id, answer):
+        """A begun stream can't be taken up where it was; what may repeat is read anew, with its answer so far."""
+        talk = self.talks.talks.get(req_of(id))
+        if talk and id == leg_id(talk.id, talk.leg) and self.talks.may_rewrite(self.now, talk):
+            talk.rewrites += 1
+            talk.prompt += talk.flowed
+            talk.max_out = max(talk.max_out - talk.flowed, 1)
+            self.out.next_leg(talk.id, True)
+            self.next_legs.append(("arrived", self._told(talk, self.talks.next_leg(talk))))
+        else:
+            self._give_up(id, answer)
+
+    def _go_on(self, talk):
+        """All calls of a pause have their results."""
+        engine = self.front.engines.get(talk.holder)
+        self.front.now = self.now
+        suspected = engine is not None and self.front.strain(engine) >= 3
+        self.front.same.clear()
+        how, holder, before = self.talks.where(talk, engine, suspected), talk.holder, leg_id(talk.id, talk.leg)
+        if holder and how == "anew":
+            self.out.let_go(before)
+        self.out.next_leg(talk.id, False)
+        leg = self.talks.next_leg(talk)
+        if how == "anew":
+            self.next_legs.append(("arrived", self._told(talk, leg)))
+        else:
+            self.next_legs.append(("resumed", (*self._told(talk, leg), holder, how == "here")))
+
+    def _end_talk(self, talk, reason):
+        """A paused conversation is given up: what is held is let go, then its final answer."""
+        leg = leg_id(talk.id, talk.leg)
+        if talk.holder:
+            self.out.let_go(leg)
+        target = self.groups.get(talk.group, {}).get("target", 0)
+        self._give_up(leg, (True, reason, min(target // 2, self.settings["advice_cap"])))
+
+    def _look_at_talks(self):
+        self.talks.send_calls(self.now, self.out)
+        if self.talks.soonest is None or self.now < self.talks.soonest:
+            return
+        holds, calls, over = self.talks.due(self.now)
+        for talk in over:
+            self._end_talk(talk, "deadline in a pause")
+        for talk in holds:
+            if talk.holder and talk.id in self.talks.talks:
+                self.out.let_go(leg_id(talk.id, talk.leg))
+                talk.holder = None
+        for talk, call in calls:
+            if talk.id in self.talks.talks:
+                self.out.fail_call(talk.id, call, "no answer in time")
+                if self.talks.answered(self.now, talk, call):
+                    self._go_on(talk)
+        self.talks.send_calls(self.now, self.out)
+        self.talks.soonest = self.talks.next_due()
+
     def _look_at_streams(self):
         if not self.streams.open:
             self.stream_due = None
         elif self.stream_due is None or self.now >= self.stream_due:
             for id, engine, n, answer in self.streams.due(self.now):
-                self._give_up(id, answer)
+                if answer[1] == "stream stalled":
+                    self._broke(id, answer)
+                else:
+                    self._give_up(id, answer)
                 self.out.end_stream(id, n)
             due = self.streams.next_due(self.now)
             self.stream_due = due and min(due, self.now + STREAM_LOOK)
@@ -130,18 +283,21 @@
     def _end_all(self):
         """What is still open when the time to stop has come is answered: pushed back where that is harmless."""
         for id in list(self.whole):
-            stream = self.streams.open.get(id)
+            talk = self.talks.talks[id]
+            leg = leg_id(id, talk.leg)
+            stream = self.streams.open.get(leg)
             if stream:
-                n = stream[3]
-                self._give_up(id, self.streams.swamped(self.now, id)[:1] + ("stopping", 0))
-                self.out.end_stream(id, n)
-            elif id in self.front.reqs:
+                self._give_up(leg, self.streams.swamped(self.now, leg)[:1] + ("stopping", 0))
+                self.out.end_stream(leg, stream[3])
+            elif leg in self.front.reqs:
                 self.front.now, self.front.out = self.now, _Reasons(self, "stopping")
-                self.front.give_up(self.front.reqs[id])
+                self.front.give_up(self.front.reqs[leg])
+            else:
+                self._end_talk(talk, "stopping")
         self.stop_by = None if not self.whole else self.stop_by
 
     def _set_wake(self):
-        times = [time for time in (self.stop_by, self.stream_due) if time is not None]
+        times = [time for time in (self.stop_by, self.stream_due, self.talks.soonest) if time is not None]
         if not times:
             return
         due = max(min(times), self.now + 1)
@@ -160,6 +316,9 @@
         return getattr(self.out, name)
 
     def push_back(self, id, wait):
+        talk = self.chain.talks.talks.get(req_of(id))
+        if talk and talk.leg and not self.chain.talks.harmless(talk):
+            return self.abort(id)  # an earlier leg ran what may not repeat
         self.chain._closed(id)
         self.out.push_back(id, wait, self.reason or "no engine answers in time")
 
--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -97,10 +97,10 @@
     def _talk(self, forward, connection, hear, patience):
         r, host = forward.req, "%s:%d" % self.addresses.get(forward.engine, ("gone", 0))
         if forward.role == "read":
-            data = wire.read(host, forward.id, r.trace, self.model, r.messages)
+            data = wire.read(host, forward.id, r.trace, self.model, r.body, r.tools, r.goes_on)
         else:
-            data = wire.write(host, forward.id, r.trace, self.model, r.messages, r.max_tokens, forward.state, r.key,
-                              r.tools)
+            data = wire.write(host, forward.id, r.trace, self.model, r.body, max(r.max_tokens - len(r.texts), 1),
+                              forward.state, r.key, r.tools, r.goes_on)
         self.record("forward_out", forward=forward.id, req=r.id, engine=forward.engine, role=forward.role, trace=r.trace)
         try:
             connection.sendall(data)
@@ -127,10 +127,9 @@
                 elif event[0] == "body":
                     if head.status == 200 and forward.role != "read":
                         try:
-                            pieces = events.feed(event[1])
+                            finished = self._pieces(forward, events.feed(event[1]), texts, hear) or finished
                         except wire.BadAnswer as why:
                             raise Broke("error", str(why)) from why
-                        finished = self._pieces(r, pieces, texts) or finished
                     else:
                         size += len(event[1])
                         if size > ANSWER_LIMIT:
@@ -143,20 +142,28 @@
                     patience.close()
                 hear.tokens(forward, texts)
 
-    def _pieces(self, r, pieces, texts):
-        """Texts of an answer's pieces are put in `texts`; True when the answer said that it is whole."""
+    def _pieces(self, forward, pieces, texts, hear):
+        """Texts of an answer's pieces are put in `texts`; True when the answer said that it is whole. Raises BadAnswer."""
         finished = False
         for piece in pieces:
             if piece is None:
                 finished = True
                 continue
             if piece.usage is not None:
-                r.usage = piece.usage
+                forward.usage = piece.usage
+            if piece.kv_transfer_params is not None:
+                forward.kept = piece.kv_transfer_params
             for choice in piece.choices:
                 if choice.delta.content:
                     texts.append(choice.delta.content)
+                if choice.delta.tool_calls:
+                    if texts:
+                        hear.tokens(forward, list(texts))
+                        texts.clear()
+                    hear.calls(forward, forward.joiner.feed(choice.delta.tool_calls))
                 if choice.finish_reason:
-                    r.finish = choice.finish_reason
+                    forward.finish = choice.finish_reason
+                    hear.calls(forward, forward.joiner.finish())
         return finished
 
     def _end(self, forward, head, body, finished, texts, hear):
@@ -168,6 +175,10 @@
                 hear.tokens(forward, texts)
             if not finished:
                 raise Broke("reset", "the stream ended without a finish")
+            if forward.finish == "tool_calls":
+                if not forward.joiner.whole:
+                    raise Broke("error", "a step ended for tools and named none")
+                return "step", 0, head.keep
             return "done", 0, head.keep
         try:
             answer = wire.read_answer(b"".join(body))
--- a/martenrouter/edge/facts.py
+++ b/martenrouter/edge/facts.py
@@ -1,20 +1,49 @@
-"""What the edge knows for certain: open reqs, their forwards, what is held where, what was answered."""
+"""What the edge knows for certain: open conversations, their forwards, tool calls, what is held where, what was answered.
+
+A `Req` is the one record of an open `generate`: the answer so far, calls and results, forwards, what is held, deadline, who
+listens. A planner in another process is rebuilt from these.
+"""
+from martenrouter.decisions.conversations import leg_id
 
 
 class Req:
-    __slots__ = ("id", "conn", "rpc_id", "trace", "messages", "size", "group", "customer", "session", "key", "tools",
-                 "max_tokens", "arrived", "deadline", "forwards", "used", "held", "owner", "index", "answered",
-                 "swamped", "usage", "finish")
+    __slots__ = ("id", "trace", "group", "customer", "session", "key", "key_at", "digest", "deadline", "arrived",
+                 "messages", "size", "body", "goes_on", "tools", "repeatable", "max_tokens",
+                 "leg", "used", "forwards", "owner", "held", "texts", "step", "step_texts", "step_calls", "calls",
+                 "listeners", "left_at", "answered", "swamped", "usage", "finish")
+
+    def __init__(self, id, arrived):
+        self.id, self.arrived = id, arrived
+        self.leg, self.used = 0, 0   # the leg that is on, and how many forwards it has had
+        self.forwards = {}           # (leg id, n) -> Forward, while out
+        self.owner = None            # the forward whose tokens the client gets: the first of the leg that began
+        self.held = None             # Held: a state that waits at an engine
+        self.texts = []              # tokens relayed, all legs
+        self.step, self.step_texts, self.step_calls = 0, [], []
+        self.calls = {}              # identity -> ToolCall, all steps
+        self.listeners, self.left_at = [], None
+        self.answered = self.swamped = self.goes_on = False
+        self.usage, self.finish = [0, 0], None
+
+    @property
+    def leg_id(self):
+        return leg_id(self.id, self.leg)
+
+
+class Listener:
+    """A connection that gets this req's tokens and its final answer, under its own JSON-RPC id."""
+    __slots__ = ("conn", "rpc_id", "index", "stuck")
+
+    def __init__(self, conn, rpc_id, index):
+        self.conn, self.rpc_id, self.index, self.stuck = conn, rpc_id, index, False
 
-    def __init__(self, id, conn, rpc_id, arrived):
-        self.id, self.conn, self.rpc_id, self.arrived = id, conn, rpc_id, arrived
-        self.forwards = {}       # n -> Forward, while out
-        self.used = 0
-        self.held = None         # Held: a read state that waits at its reader
-        self.owner = None        # the forward whose tokens the client gets: the first that began
-        self.index = 0           # tokens relayed
-        self.answered = self.swamped = False
-        self.usage = self.finish = None
+
+class ToolCall:
+    __slots__ = ("identity", "rpc_id", "whole", "result", "failed", "conn", "step", "wanted")
+
+    def __init__(self, identity, rpc_id, whole, step):
+        self.identity, self.rpc_id, self.whole, self.step = identity, rpc_id, whole, step
+        self.result, self.failed, self.conn, self.wanted = None, False, None, False
 
 
 class Held:
@@ -25,10 +54,19 @@
 
 
 class Forward:
-    __slots__ = ("req", "n", "id", "engine", "role", "time_out", "sent", "began", "over", "greenlet", "load", "state")
+    __slots__ = ("req", "leg", "n", "id", "engine", "role", "time_out", "sent", "began", "over", "greenlet", "load", "state",
+                 "joiner", "kept", "usage", "finish")
 
-    def __init__(self, req, n, id, engine, role, time_out, sent):
-        self.req, self.n, self.id, self.engine, self.role = req, n, id, engine, role
-        self.time_out, self.sent = time_out, sent
+    def __init__(self, req, leg, n, id, engine, role, time_out, sent, joiner):
+        self.req, self.leg, self.n, self.id, self.engine, self.role = req, leg, n, id, engine, role
+        self.time_out, self.sent, self.joiner = time_out, sent, joiner
         self.began = self.over = False
-        self.greenlet = self.load = self.state = None
+        self.greenlet = self.load = self.state = self.kept = self.usage = self.finish = None
+
+
+class KeptAnswer:
+    """A final answer that a repeat of its key gets again."""
+    __slots__ = ("digest", "texts", "final", "until")
+
+    def __init__(self, digest, texts, final, until):
+        self.digest, self.texts, self.final, self.until = digest, texts, final, until
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -194,6 +194,14 @@
         seen[0].add(self.now, prompt)
         seen[1].add(self.now, 1)
 
+    def resumed(self, id, *told):
+        """A req whose state waits at an engine already: an answer that paused for a tool. `here` goes on right there."""
+        self.arrived(id, *told[:-2])
+        r, engine, here = self.reqs[id], self.engines[told[-2]], told[-1]
+        r.stage, r.reader, r.clock, r.held = READ, engine, self.now, True
+        if here:
+            self.send(r, engine, False, self.links.setdefault((engine.cell, "port"), Engine((engine.cell, "port"))))
+
     def over_share(self, r):
         """Whether its customer sends more than this front's part of the quota, with a second's allowance."""
         rate = (self.quota.get(r.customer) or 0) / self.fronts
--- a/martenrouter/settings/front.py
+++ b/martenrouter/settings/front.py
@@ -53,6 +53,14 @@
     idle_connections_an_engine: int = 64
     return_after_at_most_ms: float = 5000
     stop_within_ms: float = 10_000
+    pauses: int = 1000
+    pauses_a_customer: int = 200
+    tool_steps: int = 8
+    tool_call_within_ms: float = 30_000
+    tool_result_bytes: int = 64 * 1024
+    tool_arguments_bytes: int = 64 * 1024
+    rejoin_within_ms: float = 5000
+    answers_kept: int = 2000
 
 
 class Cold(_Part):
@@ -178,8 +186,10 @@
     return {
         "open_reqs": limits.open_reqs, "open_reqs_a_connection": limits.open_reqs_a_connection,
         "advice_cap": us(limits.return_after_at_most_ms), "stop_within": us(limits.stop_within_ms),
-        "round": us(settings.round_ms),
+        "round": us(settings.round_ms), "release_within": us(limits.release_within_ms), "pauses": limits.pauses,
+        "pauses_a_customer": limits.pauses_a_customer, "tool_steps": limits.tool_steps,
+        "tool_call_within": us(limits.tool_call_within_ms),
         "groups": {g.name: {"effect": g.effect, "repeat_scope": g.repeat_scope, "target": us(g.target_ms),
-                            "token_target": us(g.token_target_ms),
+                            "importance": g.importance, "token_target": us(g.token_target_ms),
                             "first_token_within": us(g.first_token_within_ms)} for g in settings.groups},
     }
--- a/martenrouter/wire/engine.py
+++ b/martenrouter/wire/engine.py
@@ -43,6 +43,7 @@
     """One event of a streamed answer."""
     choices: list[Choice] = []
     usage: Usage | None = None
+    kv_transfer_params: dict | None = None  # OWN, with the last piece of a step: its state is kept and can be fetched
 
 
 class BadAnswer(Exception):
@@ -66,15 +67,20 @@
                                                  ("traceparent", trace)), _encode(body))
 
 
-def read(host, forward_id, trace, model, messages):
+def read(host, forward_id, trace, model, messages, tools=None, goes_on=False):
     """The call that has a prompt read and its state kept: one token at most, no stream."""
-    return _call(host, forward_id, trace, {
-        "model": model, "messages": messages, "max_tokens": 1, "stream": False,
-        "kv_transfer_params": {"do_remote_decode": True, "do_remote_prefill": False}})
+    body = {"model": model, "messages": messages, "max_tokens": 1, "stream": False,
+            "kv_transfer_params": {"do_remote_decode": True, "do_remote_prefill": False}}
+    if tools:
+        body["tools"] = tools
+    if goes_on:
+        body["continue_final_message"], body["add_generation_prompt"] = True, False
+    return _call(host, forward_id, trace, body)
 
 
-def write(host, forward_id, trace, model, messages, max_tokens, state, key=None, tools=None):
-    """The call that has an answer written; `state`: the read's parameters, None where the engine reads by itself."""
+def write(host, forward_id, trace, model, messages, max_tokens, state, key=None, tools=None, goes_on=False):
+    """The call that has an answer written; `state`: the read's parameters, None where the engine reads by itself.
+    `goes_on`: the last message is the answer so far (`continue_final_message`, as engines publish it)."""
     body = {"model": model, "messages": messages, "max_tokens": max_tokens, "stream": True,
             "stream_options": {"include_usage": True}}
     if state is not None:
@@ -83,6 +89,9 @@
         body["idempotency_key"] = key  # OWN: what a keyed group's engines know a repeat by
     if tools:
         body["tools"] = tools
+        body["keep_state"] = True  # OWN: a step that ends with tool calls keeps its state until it is let go
+    if goes_on:
+        body["continue_final_message"], body["add_generation_prompt"] = True, False
     return _call(host, forward_id, trace, body)
 
 
--- a/martenrouter/wire/jsonrpc.py
+++ b/martenrouter/wire/jsonrpc.py
@@ -32,6 +32,7 @@
     key: str | None = None              # idempotency key
     trace: str | None = None            # W3C traceparent, handed on to engines
     tools: list[dict] | None = None
+    from_index: int | None = None       # where a repeat of an open or finished call wants its tokens from
 
 
 class Call:
@@ -103,7 +104,8 @@
         raise BadParams("params: one of `messages` and `prompt` is needed, not both")
     if told.messages is not None and not told.messages:
         raise BadParams("params.messages: is empty")
-    for name, low, high in (("max_tokens", 1, 1_000_000), ("deadline_ms", None, 86_400_000), ("expected_tokens", 0, 1_000_000)):
+    for name, low, high in (("max_tokens", 1, 1_000_000), ("deadline_ms", None, 86_400_000), ("expected_tokens", 0, 1_000_000),
+                            ("from_index", 0, 1_000_000)):
         value = getattr(told, name)
         if value is not None and (value != value or low is not None and value < low or value > high):
             raise BadParams("params.%s: %s is not within %s to %s" % (name, value, "any past" if low is None else low, high))
