--- a/martenrouter/edge/client.py
+++ b/martenrouter/edge/client.py
@@ -115,4 +115,8 @@
             self.calls[message["id"]].set(message)
 
     def _run_tool(self, message):
-        self.send(jsonrpc.result(message["id"], self.tool(message["params"])))
+        result = self.tool(message["params"])
+        try:
+            self.send(jsonrpc.result(message["id"], result))
+        except Left:
+            pass  # the front asks again on the connection that comes back for the answer
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -350,6 +350,9 @@
         if forward.over:
             return
         r = forward.req
+        if forward is r.owner and ending in ("reset", "error") and len(r.texts) >= r.max_tokens:
+            # all that it may hold is there; only the word that it ends is missing
+            ending, forward.finish = "done", "length"
         if ending in ("done", "step"):
             self._begun(forward)  # also an answer without a token
             if forward.over:
@@ -363,7 +366,9 @@
         if forward.role == "read" and ending not in ("read", "full", "unreachable", "error"):
             # the read may have ended there while this end of the connection was being closed: nobody would know of it
             self._spawn_let_go(forward.engine, forward.id, r)
-        elif forward.kept is not None and (ending != "step" or r.answered):
+        elif r.tools and forward.role != "read" and (r.answered and ending == "step" or ending not in (
+                "done", "step", "full", "unreachable")):
+            # its step may have ended there, with a state kept that was never heard of
             self._spawn_let_go(forward.engine, forward.id, r)
         elapsed = clock.now() - forward.sent
         if forward.usage is not None:
--- a/martenrouter/lab/scenario.py
+++ b/martenrouter/lab/scenario.py
@@ -10,7 +10,7 @@
 
 Kind = typing.Literal["hang", "slow", "refuse", "error", "reset_after", "stall_after", "no_finish", "garbage", "half_open",
                       "forget", "link", "crash", "drain", "list_late", "list_silent", "list_back", "list_epoch",
-                      "front_kill", "burst"]
+                      "front_kill", "burst", "bad_arguments", "endless_arguments"]
 
 
 class _Part(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -38,6 +38,10 @@
     cancel: float = 0            # share of reqs that the client cancels, and of those it leaves by closing
     leave: float = 0
     early: float = 0             # share with a deadline of a tenth
+    rejoin: float = 0            # share that loses its connection and comes back for its answer by key
+    tools: list[str] = []        # names; one that begins with "set" has effects, the others may be called again
+    tool_ms: float = 150         # usual time of a tool, drawn between nothing and three times as much
+    tool_silent: float = 0       # share of calls that are never answered
 
 
 class Fault(_Part):
--- a/martenrouter/lab/verdict.py
+++ b/martenrouter/lab/verdict.py
@@ -49,6 +49,8 @@
         figures["late first tokens"], figures["forwards a req"]))
     lines.append("prompt tokens read %d, in vain %d; answer tokens written %d, in vain %d" % (
         *figures["prompt tokens"].values(), *figures["answer tokens"].values()))
+    if figures["tools"]["called"]:
+        lines.append("tools: " + ", ".join("%s %d" % pair for pair in figures["tools"].items()))
     if first.total_count:
         lines.append("first token, milliseconds (stand-in engines):")
         for p in (50, 75, 90, 95, 99, 100):
--- a/martenrouter/standins/clients.py
+++ b/martenrouter/standins/clients.py
@@ -1,6 +1,8 @@
 """Scripted clients: open-loop arrivals that don't wait for answers, sessions with growing prompts, retries as told, and
 a record of every message. What they do follows from the seed; when answers come does not.
 """
+import random
+
 import gevent
 from gevent import GreenletExit
 
@@ -17,15 +19,15 @@
 
 
 class Clients:
-    def __init__(self, fronts, traffic, groups, random, record, connections=2):
-        """`fronts`: name -> (host, port); `groups`: dicts with name and effect; `random`: a seeded generator; `record`
+    def __init__(self, fronts, traffic, groups, rnd, record, connections=2):
+        """`fronts`: name -> (host, port); `groups`: dicts with name and effect; `rnd`: a seeded generator; `record`
         takes every message."""
-        self.fronts, self.traffic, self.groups, self.random, self.record = fronts, traffic, groups, random, record
+        self.fronts, self.traffic, self.groups, self.random, self.record = fronts, traffic, groups, rnd, record
         self.connections, self.links, self.count = connections, {}, 0
         self.openings = [self._words(traffic.opening_words) for _ in range(traffic.openings)]
         self.idle, self.sessions, self.open, self.conns = [], 0, set(), 0
         self.burst = 1.0
-        self.left = set()
+        self.left, self.ran = set(), {}
 
     def _words(self, count):
         return " ".join(self.random.choice(WORDS) for _ in range(max(int(count * self.random.uniform(0.5, 1.5)), 1)))
@@ -64,7 +66,8 @@
             session = Session("s%d" % self.sessions, rnd.choice(self.openings))
         text, trace = self._words(traffic.turn_words), "%032x" % rnd.getrandbits(128)
         early, how, after = rnd.random() < traffic.early, rnd.random(), rnd.uniform(0.02, 1.0)
-        leave = "cancel" if how < traffic.cancel else "close" if how < traffic.cancel + traffic.leave else None
+        leave = ("cancel" if how < traffic.cancel else "close" if how < traffic.cancel + traffic.leave else
+                 "rejoin" if how < traffic.cancel + traffic.leave + traffic.rejoin else None)
         front = rnd.choice(sorted(self.fronts))
         greenlet = gevent.spawn(self._ask, session, self.groups[group], text, trace, early, leave, after, front)
         self.open.add(greenlet)
@@ -80,6 +83,7 @@
         client = Client(self.fronts[front])
         client.conn_id = self.conns
         client.heard = lambda message: self._heard(client, message)
+        client.tool = lambda params: self._tool(client, params)
         client.traces = {}
         if not own:
             old = self.links.get(key)
@@ -93,6 +97,14 @@
         if message.get("method") == "generate/token":
             params = message["params"]
             self.record("token_in", conn=client.conn_id, trace=client.traces.get(params.get("id")), **params)
+        elif message.get("method") == "tools/call":
+            params = message["params"]
+            trace = client.traces.get(params["_meta"]["generate"])
+            self.record("call_in", conn=client.conn_id, trace=trace, rpc=message["id"], call=params["_meta"]["call"],
+                        name=params["name"], arguments=params["arguments"], again=params["_meta"].get("again", False))
+        elif message.get("method") == "tools/failed":
+            params = message["params"]
+            self.record("call_failed", trace=client.traces.get(params["id"]), call=params["call"], reason=params["reason"])
         elif "method" not in message:
             error = message.get("error") or {}
             data = error.get("data") or {}
@@ -103,6 +115,22 @@
                         ending=ending, code=error.get("code"), reason=data.get("reason") or error.get("message"),
                         return_after_ms=data.get("return_after_ms"), tokens=told.get("tokens"))
 
+    def _tool(self, client, params):
+        """A tool at the client: run once for each call, its result a function of its arguments."""
+        meta = params["_meta"]
+        trace, key = client.traces.get(meta["generate"]), (client.traces.get(meta["generate"]), meta["call"])
+        if key not in self.ran:
+            chance = random.Random("%s %s" % (key[0], params["arguments"]))
+            text = "%s reads %d" % (params["arguments"].get("meter"), chance.randrange(10_000))
+            self.ran[key] = text
+            self.record("tool_ran", trace=trace, call=meta["call"], name=params["name"], arguments=params["arguments"],
+                        text=text, repeatable=not params["name"].startswith("set"))
+            if chance.random() < self.traffic.tool_silent:
+                gevent.sleep(3600)
+            gevent.sleep(chance.uniform(0, 3) * self.traffic.tool_ms / 1000)
+        self.record("call_answered", trace=trace, call=meta["call"])
+        return {"content": [{"type": "text", "text": self.ran[key]}]}
+
     def _ask(self, session, group, text, trace, early, leave, after, front):
         session.messages.append({"role": "user", "content": text})
         deadline = self.traffic.deadline_ms / (10 if early else 1)
@@ -126,25 +154,30 @@
         """(answer or None, texts): one call of generate, recorded."""
         texts = []
         try:
-            client = self._link(front, leave == "close")
+            client = self._link(front, leave in ("close", "rejoin"))
         except OSError as why:
             self.record("no_front", front=front, trace=trace, why=str(why))
             gevent.sleep(0.3)
             return {"error": {"code": jsonrpc.PUSHED_BACK}}, texts
         params = {"messages": list(session.messages), "group": group["name"], "session": session.id,
                   "max_tokens": self.traffic.max_tokens, "deadline_ms": deadline, "trace": "00-%s-%s-01" % (trace, trace[:16])}
-        if group["effect"] == "keyed":
+        if group["effect"] == "keyed" or leave == "rejoin":
             params["key"] = key
+        if self.traffic.tools:
+            params["tools"] = [{"name": name, "repeatable": not name.startswith("set")} for name in self.traffic.tools]
         client.last += 1
         id = client.last
         client.traces[id] = trace
         self.record("req_out", trace=trace, front=front, conn=client.conn_id, id=id, group=group["name"],
-                    deadline_ms=deadline, messages=params["messages"], max_tokens=params["max_tokens"])
+                    deadline_ms=deadline, messages=params["messages"], max_tokens=params["max_tokens"],
+                    tools=self.traffic.tools)
         leaver = gevent.spawn_later(after, self._leave, client, id, trace, leave) if leave else None
         try:
             client.begin("generate", params, lambda index, more: texts.extend(more), id)
             return client.wait(id, deadline / 1000 + 5), texts
         except Left as why:
+            if leave == "rejoin" and trace in self.left:
+                return self._rejoin(params, trace, front, texts, deadline)
             if trace not in self.left:
                 self.record("conn_lost", trace=trace, front=front, conn=client.conn_id, why=str(why))
             return None, texts
@@ -154,14 +187,37 @@
         finally:
             if leaver:
                 leaver.kill(block=False)
-            if leave == "close":
+            if leave in ("close", "rejoin"):
                 client.close()
 
+    def _rejoin(self, params, trace, front, texts, deadline):
+        """Comes back for its answer on another connection, by its key, from the token it has."""
+        self.left.discard(trace)
+        try:
+            client = self._link(front, True)
+        except OSError as why:
+            self.record("conn_lost", trace=trace, front=front, conn=0, why=str(why))
+            return None, texts
+        client.traces[1] = trace
+        self.record("rejoined", trace=trace, conn=client.conn_id, index=len(texts))
+        try:
+            id = client.begin("generate", {**params, "from_index": len(texts)}, lambda index, more: texts.extend(more), 1)
+            return client.wait(id, deadline / 1000 + 5), texts
+        except Left as why:
+            self.record("conn_lost", trace=trace, front=front, conn=client.conn_id, why=str(why))
+            return None, texts
+        except (gevent.Timeout, GreenletExit):
+            self.record("unanswered", trace=trace, front=front)
+            return None, texts
+        finally:
+            client.close()
+
     def _leave(self, client, id, trace, leave):
         if id not in client.calls or client.calls[id].ready():
             return
         self.left.add(trace)
-        self.record("left", trace=trace, how=leave)
+        if leave != "rejoin":
+            self.record("left", trace=trace, how=leave)
         try:
             if leave == "cancel":
                 client.cancel(id)
--- a/martenrouter/standins/engine.py
+++ b/martenrouter/standins/engine.py
@@ -37,6 +37,8 @@
     forget: bool | None = None
     link: float | None = None
     crash: bool | None = None
+    bad_arguments: bool | None = None
+    endless_arguments: bool | None = None
     clear: bool | None = None
 
 
@@ -160,6 +162,8 @@
         id = told["request_id"]
         if self.faults.hang:
             gevent.sleep(3600)
+        job = self.model.jobs.get(id)
+        tokens = job.prompt + job.produced if job else 0
         if not self.model.fetch(now(), id, told["cell"] == self.spec.cell):
             sock.sendall(http.response(404, (JSON,), b"{}"))
             return
@@ -167,17 +171,18 @@
         moved = self.moves[id] = Event()
         self._poke()
         moved.wait()
-        sock.sendall(http.response(200, (JSON,), b"{}"))
+        sock.sendall(http.response(200, (JSON,), msgspec.json.encode({"tokens": tokens})))
 
     def _generate(self, sock, head, told):
         messages, id, trace = told["messages"], head.headers.get("x-request-id", ""), head.headers.get("traceparent", "")
         state = told.get("kv_transfer_params") or {}
         reads = bool(state.get("do_remote_decode"))
         kind = "read" if reads else "write" if state.get("do_remote_prefill") else "both"
-        chain = answers.chain_of(messages)
-        length = 1 if reads else answers.length(self.spec.seed, chain[-1][0], told.get("max_tokens") or 16,
-                                                self.spec.usual_answer)
-        job = Job(id, kind, chain, length)
+        names = [tool["function"]["name"] for tool in told.get("tools") or ()]
+        tokens, calls, skip = answers.plan(self.spec.seed, messages, told.get("max_tokens") or 16, self.spec.usual_answer,
+                                           names, bool(told.get("continue_final_message")))
+        keeps = bool(calls and told.get("keep_state"))
+        job = Job(id, kind, answers.chain_of(messages), 1 if reads else max(len(tokens) - skip, 1), keeps)
         self.record("forward_in", forward=id, trace=trace, kind=kind, prompt=job.prompt, work=work_of(self.spec, job),
                     key=told.get("idempotency_key"), state=state.get("remote_request_id"))
         if self.faults.garbage:
@@ -199,10 +204,10 @@
             if reads:
                 self._answer_read(sock, job, events)
             else:
-                self._answer_write(sock, job, events, state)
+                self._answer_write(sock, job, events, state, tokens[skip:], calls)
         finally:
             del self.waiting[id]
-            if id in self.model.jobs and not (reads and job.state in ("waiting", "moving")):
+            if id in self.model.jobs and job.state not in ("waiting", "moving"):
                 self.model.drop(now(), id)
                 self.record("dropped", forward=id)  # its client left, or a fault ended it
             self._poke()
@@ -216,50 +221,75 @@
 
     def _answer_read(self, sock, job, events):
         _, _, found = events.get()
-        host, port = self.server.address[:2]
         body = msgspec.json.encode({
             "id": job.id, "object": "chat.completion", "model": "standin",
             "choices": [{"index": 0, "message": {"role": "assistant", "content": ""}, "finish_reason": "length"}],
             "usage": {"prompt_tokens": job.prompt, "completion_tokens": 1,
                       "prompt_tokens_details": {"cached_tokens": found}},
-            "kv_transfer_params": {"do_remote_prefill": True, "do_remote_decode": False, "remote_engine_id": self.spec.id,
-                                   "remote_host": host, "remote_port": port, "remote_block_ids": [0],
-                                   "remote_request_id": job.id}})
+            "kv_transfer_params": self._state(job)})
         self.record("held", forward=job.id, read=job.prompt - found)
         sock.sendall(http.response(200, (JSON, self._load()), body))
 
-    def _answer_write(self, sock, job, events, state):
-        digest, began, sent = job.chain[-1][0], False, 0
+    def _answer_write(self, sock, job, events, state, tokens, calls):
+        began, sent = False, 0
         while True:
             event = events.get()
             if event[0] == "fetch":
-                if not self._fetch(state):
+                have = self._fetch(state)
+                if have is None:
                     return self._refuse(sock, job.id, 412, ((wire.NOT_RUN, "1"),))
-                self.model.fetched(now(), job.id)
+                self.model.fetched(now(), job.id, have)
                 self._poke()
                 continue
+            if not began:
+                began = True
+                self.record("first_out", forward=job.id)
+                sock.sendall(http.response(200, (("content-type", "text/event-stream"), self._load()), chunked=True))
             if event[0] == "token":
-                if not began:
-                    began = True
-                    self.record("first_out", forward=job.id)
-                    sock.sendall(http.response(200, (("content-type", "text/event-stream"), self._load()), chunked=True))
                 if self.faults.reset_after is not None and sent >= self.faults.reset_after:
                     return self._reset(sock, job.id, sent)
                 if self.faults.stall_after is not None and sent >= self.faults.stall_after:
                     gevent.sleep(3600)
-                text = answers.token(self.spec.seed, digest, event[2])
-                self._piece(sock, {"choices": [{"index": 0, "delta": {"content": text}, "finish_reason": None}]})
+                if event[2] < len(tokens):
+                    self._delta(sock, {"content": tokens[event[2]]})
                 sent += 1
                 continue
-            self.record("done_out", forward=job.id, tokens=sent)
             if self.faults.no_finish:
+                self.record("done_out", forward=job.id, tokens=sent)
                 sock.sendall(http.chunk(b""))
                 return
-            self._piece(sock, {"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]})
+            for i, (name, arguments) in enumerate(calls):
+                self._call(sock, i, name, msgspec.json.encode(arguments).decode())
+            last = {"choices": [{"index": 0, "delta": {}, "finish_reason": "tool_calls" if calls else "stop"}]}
+            if job.keeps:
+                self.record("held", forward=job.id, read=0)
+                last["kv_transfer_params"] = self._state(job)
+            self.record("done_out", forward=job.id, tokens=sent)
+            self._piece(sock, last)
             self._piece(sock, {"choices": [], "usage": {"prompt_tokens": job.prompt, "completion_tokens": sent}})
             sock.sendall(http.chunk(b"data: [DONE]\n\n") + http.chunk(b""))
             return
 
+    def _call(self, sock, index, name, arguments):
+        """A tool call in pieces, as engines stream them; two faults spoil it."""
+        if self.faults.bad_arguments:
+            arguments = arguments[:-1] + ","
+        self._delta(sock, {"tool_calls": [{"index": index, "id": "call_%d" % index, "type": "function",
+                                           "function": {"name": name, "arguments": ""}}]})
+        while self.faults.endless_arguments:
+            self._delta(sock, {"tool_calls": [{"index": index, "function": {"arguments": " " * 8192}}]})
+            gevent.sleep(0.001)
+        for part in (arguments[:5], arguments[5:]):
+            self._delta(sock, {"tool_calls": [{"index": index, "function": {"arguments": part}}]})
+
+    def _delta(self, sock, delta):
+        self._piece(sock, {"choices": [{"index": 0, "delta": delta, "finish_reason": None}]})
+
+    def _state(self, job):
+        host, port = self.server.address[:2]
+        return {"do_remote_prefill": True, "do_remote_decode": False, "remote_engine_id": self.spec.id, "remote_host": host,
+                "remote_port": port, "remote_block_ids": [0], "remote_request_id": job.id}
+
     def _piece(self, sock, told):
         told["object"], told["model"] = "chat.completion.chunk", "standin"
         sock.sendall(http.chunk(b"data: " + msgspec.json.encode(told) + b"\n\n"))
@@ -270,28 +300,35 @@
         sock.close()
 
     def _fetch(self, state):
-        """Has the state moved here; False when the reader has none or can't be reached."""
+        """Has the state moved here, from this engine itself or from another; its tokens, None when there is none."""
+        id = state.get("remote_request_id")
+        if state.get("remote_engine_id") == self.spec.id:
+            tokens = self.model.take(now(), id)
+            if tokens is not None:
+                self.record("fetched", forward=id, by=self.spec.id)
+            return tokens
         try:
             address = state["remote_host"], int(state["remote_port"])
             sock = socket.create_connection(address, timeout=1)
         except (OSError, KeyError, ValueError):
-            return False
+            return None
         try:
             sock.settimeout(None)
-            body = msgspec.json.encode({"request_id": state.get("remote_request_id"), "cell": self.spec.cell,
-                                        "by": self.spec.id})
+            body = msgspec.json.encode({"request_id": id, "cell": self.spec.cell, "by": self.spec.id})
             sock.sendall(http.request("POST", "/kv/fetch", "%s:%d" % address, (JSON,), body))
-            reader = http.ResponseReader()
+            reader, status, body = http.ResponseReader(), 0, b""
             while True:
                 data = sock.recv(4096)
                 if not data:
-                    return False
+                    return None
                 for event in reader.feed(data):
                     if event[0] == "head":
-                        return event[1].status == 200
+                        status = event[1].status
+                    elif event[0] == "body":
+                        body += event[1]
+                    else:
+                        return msgspec.json.decode(body)["tokens"] if status == 200 else None
         except (OSError, http.BadBytes):
-            return False
+            return None
         finally:
             sock.close()
-
-
--- a/martenrouter/standins/judge.py
+++ b/martenrouter/standins/judge.py
@@ -6,13 +6,14 @@
 """
 import collections
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from martenrouter.standins import answers
 
 TRANSIT = 100_000  # microseconds from a send to the receiver's record on a machine that is busy with a dozen processes
 DRAIN_GRACE = 1_000_000
-RULES = ("one answer", "no double effect", "drains kept", "cold spared", "nothing pinned", "tokens right")
+RULES = ("one answer", "no double effect", "drains kept", "cold spared", "nothing pinned", "tokens right", "tools once")
 
 
 class Judge:
@@ -45,6 +46,7 @@
         self.cold_spared()
         self.nothing_pinned()
         self.tokens_right()
+        self.tools_once()
         return self
 
     # ---- rule 1 ----
@@ -80,6 +82,10 @@
             finals = self.finals.get(token["trace"])
             if finals and token["t"] > finals[0]["t"]:
                 self.broken("one answer", token["trace"], token["t"], "token %d after the final answer" % token["index"])
+        for call in self.by_ev["call_in"]:
+            finals = self.finals.get(call["trace"])
+            if finals and call["t"] > finals[0]["t"]:
+                self.broken("one answer", call["trace"], call["t"], "tool call %s after the final answer" % call["call"])
         for final in self.by_ev["final_in"]:
             if final["trace"] not in self.reqs and final["id"] is not None:
                 self.broken("one answer", str(final["id"]), final["t"], "an answer to a call that was never made")
@@ -104,7 +110,8 @@
                 continue
             writes = [forward for forward in self.of_trace.get(trace, ()) if forward["kind"] != "read"]
             for i, later in enumerate(writes):
-                earlier = [one for one in writes[:i] if not self._proven(one, later["t"])]
+                # a leg that follows a pause goes on, it repeats nothing; within a leg a forward repeats those before
+                earlier = [one for one in writes[:i] if _leg(one) == _leg(later) and not self._proven(one, later["t"])]
                 if not earlier:
                     continue
                 if effect == "non-replayable":
@@ -125,6 +132,12 @@
                     self.broken("no double effect", trace, final["t"], "%s: pushed back while %s may have run at %s" % (
                         effect, may[0]["forward"], may[0]["who"]))
 
+        for ran in self.by_ev["tool_ran"]:
+            finals = self.finals.get(ran["trace"], ())
+            if not ran["repeatable"] and finals and finals[0]["ending"] == "pushed back":
+                self.broken("no double effect", ran["trace"], finals[0]["t"], "pushed back after %s was called, which has "
+                            "effects" % ran["name"])
+
     def _place(self, engine, scope):
         return self.told["engines"].get(engine, {}).get(scope)
 
@@ -221,26 +234,68 @@
     # ---- what was answered ----
 
     def tokens_right(self):
-        """Tokens come in order, each once, and are what the stand-ins' function gives for the prompt."""
+        """Tokens come in order, each once, and are what the stand-ins' function gives for the prompt and the tools' results,
+        whichever engines wrote them."""
         by_trace = _by(self.by_ev["token_in"], "trace")
-        engine = next(iter(self.told["engines"].values()), {"seed": 7, "usual": 24})
+        results = {}
+        for ran in self.by_ev["tool_ran"]:
+            results[(ran["trace"], ran["call"])] = ran["text"]
+        for failed in self.by_ev["call_failed"]:
+            results[(failed["trace"], failed["call"])] = "error: " + failed["reason"]
+        calls = _by(self.by_ev["call_in"], "trace")
         for trace, req in self.reqs.items():
             tokens, count = by_trace.get(trace, ()), 0
-            if not tokens:
-                continue
-            right = answers.answer(engine["seed"], req["messages"], req["max_tokens"], engine["usual"])
+            right, whole = self._right(req, calls.get(trace, ()), results)
             for message in tokens:
                 if message["index"] != count:
                     self.broken("tokens right", trace, message["t"], "index %d came where %d was due" % (message["index"], count))
                     break
-                if message["tokens"] != right[count:count + len(message["tokens"])]:
+                until = count + len(message["tokens"])
+                if message["tokens"] != right[count:until] and (whole or message["tokens"][:len(right) - count] != right[count:until]):
                     self.broken("tokens right", trace, message["t"], "tokens from index %d are not those of the prompt" % count)
                     break
-                count += len(message["tokens"])
+                count = until
             else:
                 final = next(iter(self.finals.get(trace, ())), None)
-                if final and final["ending"] == "done" and count != len(right):
-                    self.broken("tokens right", trace, final["t"], "done after %d tokens of %d" % (count, len(right)))
+                if final and final["ending"] == "done" and (count != len(right) or not whole):
+                    self.broken("tokens right", trace, final["t"], "done after %d tokens of %d%s" % (
+                        count, len(right), "" if whole else ", tools that were not called were due"))
+
+    def _right(self, req, calls, results):
+        """(tokens, whether they are all): the answer as the function gives it, as far as results are known."""
+        engine = next(iter(self.told["engines"].values()), {"seed": 7, "usual": 24})
+        messages, left, right, step = list(req["messages"]), req["max_tokens"], [], 0
+        while True:
+            tokens, asked, _ = answers.plan(engine["seed"], messages, left, engine["usual"], req.get("tools") or ())
+            right += tokens
+            if not asked:
+                return right, True
+            left, told = max(left - len(tokens), 1), []
+            for i, (name, arguments) in enumerate(asked):
+                call = next((call for call in calls if call["call"].startswith("%d.%d." % (step, i))
+                             and (call["name"], call["arguments"]) == (name, arguments)), None)
+                result = results.get((req["trace"], call["call"])) if call else None
+                if result is None:
+                    return right, False
+                told.append({"role": "tool", "tool_call_id": "call_%d" % i, "content": result})
+            messages += [answers.said("".join(tokens), [(name, _json(arguments)) for name, arguments in asked]), *told]
+            step += 1
+
+    def tools_once(self):
+        """No tool is run twice for a call, and no call is asked twice but as the same one, marked."""
+        for trace, ran in _by(self.by_ev["tool_ran"], "trace").items():
+            seen = set()
+            for run in ran:
+                key = run["name"], _json(run["arguments"])
+                if key in seen:
+                    self.broken("tools once", trace, run["t"], "%s was run twice with %s" % key)
+                seen.add(key)
+        for trace, calls in _by(self.by_ev["call_in"], "trace").items():
+            seen = set()
+            for call in calls:
+                if call["call"] in seen and not call["again"]:
+                    self.broken("tools once", trace, call["t"], "call %s was asked twice as if it were new" % call["call"])
+                seen.add(call["call"])
 
     # ---- figures ----
 
@@ -268,7 +323,10 @@
                                    for name, p in (("p50", 50), ("p90", 90), ("p99", 99), ("max", 100))},
                 "forwards a req": round(len(self.forwards) / max(len(self.of_trace), 1), 2),
                 "prompt tokens": {"read": read, "in vain": in_vain},
-                "answer tokens": {"written": written, "in vain": written_vain}}, first
+                "answer tokens": {"written": written, "in vain": written_vain},
+                "tools": {"called": len(self.by_ev["tool_ran"]), "asked again": sum(
+                    call["again"] for call in self.by_ev["call_in"]), "failed": len(self.by_ev["call_failed"]),
+                    "rejoined": len(self.by_ev["rejoined"])}}, first
 
     def _late(self, trace):
         req = self.reqs[trace]
@@ -284,6 +342,15 @@
         return self._token_index.get(trace, [])
 
 
+def _json(value):
+    return msgspec.json.encode(value).decode()
+
+
+def _leg(forward):
+    """The leg of a req that a forward belongs to: its id without the forward's number."""
+    return forward["forward"].rsplit("-", 1)[0]
+
+
 def _by(records, field):
     groups = collections.defaultdict(list)
     for record in records:
--- a/martenrouter/standins/model.py
+++ b/martenrouter/standins/model.py
@@ -47,11 +47,12 @@
 
 
 class Job:
-    __slots__ = ("id", "kind", "prompt", "chain", "answer", "left", "found", "produced", "state", "at")
+    __slots__ = ("id", "kind", "prompt", "chain", "answer", "left", "found", "produced", "state", "at", "keeps")
 
-    def __init__(self, id, kind, chain, answer):
-        """`kind`: read (prompt only), write (fetches a state first), both (reads and writes)."""
-        self.id, self.kind, self.chain, self.answer = id, kind, chain, answer
+    def __init__(self, id, kind, chain, answer, keeps=False):
+        """`kind`: read (prompt only), write (fetches a state first), both (reads and writes). `keeps`: when it is done its
+        state waits here, as a read's does."""
+        self.id, self.kind, self.chain, self.answer, self.keeps = id, kind, chain, answer, keeps
         self.prompt = chain[-1][1] if chain else 0
         self.left = self.found = self.produced = 0
         self.state, self.at = QUEUED, 0
@@ -127,20 +128,28 @@
         self._start(now)
         return "ok"
 
-    def fetched(self, now, id):
-        """The state of a write has arrived here."""
+    def fetched(self, now, id, tokens):
+        """The state of a write has arrived here; what of the prompt it doesn't hold is read here."""
         job = self.jobs.get(id)
         if job and job.state == FETCHING:
-            job.state = RUNNING
+            job.state, job.left = RUNNING, max(job.prompt - tokens, 0)
             self._start(now)
 
+    def take(self, now, id):
+        """A waiting state goes on at this same engine: its tokens, or None when there is none."""
+        job = self.jobs.get(id)
+        if job is None or job.state != WAITING:
+            return None
+        self.drop(now, id)
+        return job.prompt + job.produced
+
     def fetch(self, now, id, near):
         """A writer asks for a waiting state; False when there is none. ("moved", id) says when it has left."""
         job = self.jobs.get(id)
         if job is None or job.state != WAITING:
             return False
         job.state = MOVING
-        self.links["port" if near else "out"].add(now, id, job.prompt)
+        self.links["port" if near else "out"].add(now, id, job.prompt + job.produced)
         return True
 
     def drop(self, now, id):
@@ -245,7 +254,7 @@
             self.queue.popleft()
             self.running.append(job)
             if job.kind == "write" and not job.produced and not job.left:
-                job.state = FETCHING
+                job.state = FETCHING  # one that was preempted reads anew what it had
                 self._to_fetch.append(job)
             else:
                 job.state = RUNNING
@@ -277,7 +286,8 @@
                 job.left -= reads.get(job.id, 0)
                 if job.left or job.id not in reads:
                     continue
-                self._keep(job)
+                if job.kind != "write":
+                    self._keep(job)
                 if job.kind == "read":
                     self.running.remove(job)
                     job.state, job.at = WAITING, at
@@ -289,7 +299,10 @@
             job.produced += 1
             if job.produced >= job.answer:
                 self.running.remove(job)
-                del self.jobs[job.id]
+                if job.keeps:
+                    job.state, job.at = WAITING, at
+                else:
+                    del self.jobs[job.id]
                 events.append(("done", job.id))
         # memory run out: the newest answer goes back into the queue and is read anew
         while self.held() > self.spec.memory_tokens and len(self.running) > 1:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -131,8 +131,8 @@
         taken = [model.submit(0, self.job(id, "write", 10)) for id in "abcdef"]
         self.assertEqual(taken, ["ok"] * 5 + ["full"])
         self.assertEqual([event[1:] for event in self.play(model, 3000)], [("fetch", "a"), ("fetch", "b")])
-        model.fetched(3000, "a")
-        model.fetched(3000, "b")
+        model.fetched(3000, "a", 110)
+        model.fetched(3000, "b", 110)
         events = [event[1:] for event in self.play(model, 40_000)]
         self.assertEqual([event for event in events if event[0] == "done"], [("done", "a"), ("done", "b")])
         self.assertEqual([event[2] for event in events if event[:2] == ("token", "a")], [0, 1, 2, 3])
