--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -32,6 +32,7 @@
         self.kept, self.connect_within, self.model = kept, connect_within / 1e6, model
         self.record, self.counters, self.log = record, counters, log
         self.addresses = {}  # engine -> (host, port)
+        self.left = {}       # of engines that left the list: what is still held there is let go, nothing else is sent
 
     def moved(self, changed):
         """News of addresses; connections to a process that left are closed."""
@@ -42,8 +43,11 @@
                 self._close(self.kept.forget(id))
             if address:
                 self.addresses[id] = address
-            else:
-                self.addresses.pop(id, None)
+                self.left.pop(id, None)
+            elif id in self.addresses:
+                self.left[id] = self.addresses.pop(id)
+                while len(self.left) > 1000:
+                    del self.left[next(iter(self.left))]
 
     def sweep(self):
         self._close(self.kept.sweep(clock.now()))
@@ -52,7 +56,7 @@
         for connection in connections:
             connection.close()
 
-    def _connect(self, engine):
+    def _connect(self, engine, also_left=False):
         while True:
             connection, closing = self.kept.take(clock.now(), engine)
             self._close(closing)
@@ -62,8 +66,8 @@
                 self.counters["connection_reused"] += 1
                 return connection
             connection.close()  # the engine closed it, or sent what nobody asked for
-        address = self.addresses.get(engine)
-        if address is None:
+        address = self.addresses.get(engine) or also_left and self.left.get(engine)
+        if not address:
             raise Broke("unreachable", "no address")
         try:
             connection = Line(address, self.connect_within)
@@ -193,8 +197,8 @@
         for last in (False, True):
             connection, clean = None, False
             try:
-                connection = self._connect(engine)
-                host = "%s:%d" % self.addresses.get(engine, ("gone", 0))
+                connection = self._connect(engine, also_left=True)
+                host = "%s:%d" % (self.addresses.get(engine) or self.left.get(engine) or ("gone", 0))
                 self.record("let_go_out", forward=forward_id, engine=engine, trace=trace)
                 with gevent.Timeout(self.connect_within * 4, Broke("timed out", "no word")):
                     connection.sendall(wire.let_go(host, forward_id, trace))
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -12,6 +12,7 @@
 from martenrouter.lab.scenario import engines_of
 from martenrouter.settings import front as settings_of
 from martenrouter.standins.clients import Clients
+from martenrouter.standins.clocks import watch_lag
 from martenrouter.standins.model import Spec
 from martenrouter.state.records import Recorder
 from martenrouter.wire import http, nodes
@@ -42,6 +43,7 @@
     def play(self):
         """Runs the day; returns {front: exit code}. Everything started is stopped, whatever happens."""
         try:
+            self.work.append(gevent.spawn(watch_lag, gevent.sleep, self.record))
             self._start()
             clients = self._clients()
             self.say("%d engines, %d fronts; %g s of traffic at %g reqs a second" % (
--- a/martenrouter/lab/verdict.py
+++ b/martenrouter/lab/verdict.py
@@ -56,6 +56,7 @@
         for p in (50, 75, 90, 95, 99, 100):
             value = first.get_value_at_percentile(p) / 1000
             lines.append("    p%-4d %8.1f  %s" % (p, value, "#" * min(int(value / 20) + 1, 60)))
+    lines.append("the machine stood still for %.0f ms at the most" % figures["machine lag ms"])
     for miss in told["missed"]:
         lines.append("NOT AS EXPECTED: %s" % miss)
     lines.append("verdict: %s" % ("all rules kept, all as the scenario expects" if told["kept"] and told["expected"] else
--- a/martenrouter/standins/engine.py
+++ b/martenrouter/standins/engine.py
@@ -18,7 +18,7 @@
 from martenrouter.state import records
 from martenrouter.wire import engine as wire
 from martenrouter.wire import http
-from martenrouter.standins.clocks import now, wall
+from martenrouter.standins.clocks import now, wall, watch_lag
 
 JSON = ("content-type", "application/json")
 
@@ -55,6 +55,7 @@
     def start(self):
         self.server.start()
         gevent.spawn(self._tick)
+        gevent.spawn(watch_lag, gevent.sleep, self.record)
         self.record("started", role=self.spec.role, zone=self.spec.zone, cell=self.spec.cell, born=self.model.born,
                     cold=bool(self.spec.start), cold_share=self.spec.cold_share, warm_within=self.spec.warm_within_us,
                     fall_multiple=self.spec.fall_multiple, fall_window=self.spec.fall_window_us,
--- a/tests/sockets/test_judge_catches.py
+++ b/tests/sockets/test_judge_catches.py
@@ -12,6 +12,7 @@
 # mutant -> (rule it breaks, the day on which it has the chance)
 BASE = dict(seconds=4, cells=[{"rd": 1, "wr": 1}, {"rd": 1, "wr": 1}])
 TRAFFIC = {"rate": 12, "shares": [0.5, 0.25, 0.25], "deadline_ms": 3000}
+TOOLS = {**TRAFFIC, "tools": ["meter", "set_valve"], "tool_ms": 100, "deadline_ms": 5000}
 COLD = {"reader": {"cold_share": 0.08, "warm_within_us": 30_000_000, "fall_multiple": 1.5, "fall_window_us": 1_500_000}}
 DAYS = {
     "honest": (None, [], {}),
@@ -26,6 +27,11 @@
     "lets_nothing_go": ("nothing pinned", [{"at": 0.5, "kind": "refuse", "target": "wr-0-0", "length": 3},
                                            {"at": 0.5, "kind": "refuse", "target": "wr-1-0", "length": 3}], {}),
     "spoils_tokens": ("tokens right", [], {}),
+    "asks_tools_twice": ("tools once", [], {"traffic": TOOLS}),
+    "forgets_effects": ("no double effect", [], {"traffic": TOOLS}),
+    "holds_for_ever": ("nothing pinned", [], {"traffic": {**TOOLS, "tool_ms": 1500}}),
+    "loses_a_result": ("tokens right", [], {"traffic": TOOLS}),
+    "honest with tools": (None, [], {"traffic": {**TOOLS, "rejoin": 0.2}}),
 }
 
 
