--- a/bench/front.py
+++ b/bench/front.py
@@ -37,7 +37,7 @@
         port = ports.take()
         path = os.path.join(self.dir, "front.jsonnet")
         with open(path, "w") as file:
-            json.dump({"listen": "127.0.0.1:%d" % port, "list": {"file": listing}, "limits": {"connections": 20_000},
+            json.dump({"listen": "127.0.0.1:%d" % port, "list": {"file": listing}, "limits": {"connections": 20_000, "pauses": 5000, "tool_call_within_ms": 600_000, "open_reqs": 5000},
                        "kinds": [{"name": "rd", "role": "read", "memory_tokens": 4_000_000},
                                  {"name": "wr", "role": "write", "memory_tokens": 4_000_000}],
                        "log": {"level": "warning"}}, file)
--- a/martenrouter/decisions/conversations.py
+++ b/martenrouter/decisions/conversations.py
@@ -125,7 +125,8 @@
             if not call or call.state != QUEUED:
                 continue
             of_customer = self.out_by_customer.get(talk.customer, 0)
-            if self.out_now >= self.settings["pauses"] or of_customer >= self.settings["pauses_a_customer"]:
+            if self.out_now >= self.settings["pauses"] or (
+                    talk.customer is not None and of_customer >= self.settings["pauses_a_customer"]):
                 waiting.append((rank, id, name))
                 continue
             self.out_now += 1
--- a/martenrouter/wire/tools.py
+++ b/martenrouter/wire/tools.py
@@ -79,7 +79,7 @@
         if self._open is None:
             return []
         (index, id, name, parts), self._open = self._open, None
-        text = "".join(parts)
+        text = "".join(parts).strip()  # padding says nothing, and would be read with every leg that follows
         try:
             arguments = msgspec.json.decode(text or "{}")
         except (msgspec.MsgspecError, RecursionError) as why:
