--- a/martenrouter/cli/life.py
+++ b/martenrouter/cli/life.py
@@ -2,6 +2,7 @@
 import gc
 import os
 import sys
+import threading
 
 import gevent
 from gevent import os as gevent_os
@@ -18,6 +19,15 @@
     gevent.spawn(watch)
 
 
+def end_with_stdin():
+    """The same for a program without a gevent loop."""
+    def watch():
+        while os.read(sys.stdin.fileno(), 4096):
+            pass
+        os._exit(0)
+    threading.Thread(target=watch, daemon=True).start()
+
+
 def settle_memory():
     """What is loaded by now lives as long as the process, and what a req leaves is freed by count: the collector of
     cycles need not look often. 50,000 new objects are some hundred reqs; a look then costs under a millisecond."""
--- a/martenrouter/decisions/admission.py
+++ b/martenrouter/decisions/admission.py
@@ -22,9 +22,13 @@
             return "connection full", self._return_after(now, group)
         if len(self.open) >= self.most:
             return "front full", self._return_after(now, group)
+        self.taken(id, connection)
+        return None
+
+    def taken(self, id, connection):
+        """Counts a req that is open, also one that another decider took."""
         self.open[id] = connection
         self.by_connection[connection] = self.by_connection.get(connection, 0) + 1
-        return None
 
     def ended_one(self, now, id):
         connection = self.open.pop(id, None)
--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -17,6 +17,7 @@
 """
 from martenrouter.decisions.admission import Admission
 from martenrouter.decisions.conversations import Conversations, leg_id, req_of
+from martenrouter.decisions.learnt import put
 from martenrouter.decisions.streams import Streams
 from martenrouter.rules import Front
 
@@ -30,6 +31,7 @@
         self.talks = Conversations(settings)
         self.settings, self.groups = settings, settings["groups"]
         self.whole = {}      # open req -> (group, deadline of the whole answer)
+        self._ended_before = []
         self.next_legs = []  # calls of the module that begin legs found due in this round
         self.stop_by = None
         self.looked, self.wake_at = 0, 0
@@ -44,6 +46,9 @@
                 inner.append((call, arguments))
         if inner or self.front.live:
             self.front.turn(now, inner, _Reasons(self))
+        for talk in self.talks.adopted_ready():
+            self._go_on(talk)
+        self._end_adopted()
         self._look_at_streams()
         self._look_at_talks()
         if self.next_legs:
@@ -58,6 +63,63 @@
             self._end_all()
         self._set_wake()
 
+    # ---- taking over ----
+
+    def adopt(self, now, facts, learnt=None):
+        """Rebuilds all state from an edge's facts (edge/handover.py says what they are), decides nothing yet."""
+        self.now = self.front.now = now
+        self.front.out = _Nothing()
+        self.front.listed(facts["version"], "first", [tuple(row) for row in facts["rows"]])
+        if learnt:
+            put(self.front, learnt, now)
+        if facts["stopping"]:
+            self._stop(())
+        for one in facts["reqs"]:
+            self._adopt_one(one)
+        self.front.same.clear()
+
+    def _adopt_one(self, one):
+        id, told = one["id"], one["told"]
+        group, deadline = told[0], told[3]
+        self.whole[id] = group, deadline
+        self.admission.taken(id, one["conn"])
+        self.talks.begun(self.now, id, *told)
+        talk = self.talks.talks[id]
+        talk.leg, talk.steps, talk.rewrites, talk.effects = one["leg"], one["steps"], one["rewrites"], one["effects"]
+        talk.prompt, talk.max_out, talk.flowed = one["prompt"], one["left"], one["flowed"]
+        leg = leg_id(id, talk.leg)
+        self.talks.adopt_calls(self.now, talk, one["calls"])
+        if one["paused"]:
+            holder = self.front.engines.get(one["holder"])
+            self.talks.adopt_pause(self.now, talk, one["holder"], holder.born if holder else 0, one["since"])
+            return
+        if one["broke"]:
+            # its stream broke, and the one before didn't come to decide what follows
+            self.streams.began(self.now, leg, group, deadline, one["reader"], one["used"])
+            self._ended_before.append(leg)
+            return
+        if talk.leg == 0 and not one["used"] and one["stage"] == 0:
+            self.next_legs.append(("arrived", self._told(talk, leg)))  # nothing was decided for it yet
+            return
+        self.front.adopted(leg, self._told(talk, leg)[1:], one["age"], one["stage"], one["used"], one["reader"],
+                           one["since"], one["held"], one["effect"] and tuple(one["effect"]),
+                           [tuple(forward) for forward in one["out"]])
+        if one["effect"] and not one["out"] and self.groups[group]["effect"] == "non-replayable":
+            self._ended_before.append(leg)
+        for n, engine, _, began in one["out"]:
+            if began:
+                self.streams.began(self.now, leg, group, deadline, engine, n)
+
+    def _end_adopted(self):
+        """What had ended in a way that the decider before it had still to answer."""
+        legs, self._ended_before = self._ended_before, []
+        for leg in legs:
+            if leg in self.streams.open:
+                self._broke(leg, self.streams.broke(self.now, leg, "reset"))
+            elif leg in self.front.reqs:
+                self.front.now, self.front.out = self.now, _Reasons(self)
+                self.front.give_up(self.front.reqs[leg])
+
     # ---- calls that concern more than the module: True hands the call on to it as it is ----
 
     def _arrived(self, inner, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags,
@@ -306,6 +368,13 @@
             self.out.wake_chain(due - self.now)
 
 
+class _Nothing:
+    """A writer for what was decided before."""
+
+    def __getattr__(self, name):
+        return lambda *_: None
+
+
 class _Reasons:
     """The module's writer: what it gives up on is no longer open, and its answers get a reason."""
 
--- a/martenrouter/decisions/conversations.py
+++ b/martenrouter/decisions/conversations.py
@@ -12,6 +12,8 @@
 result is this error), `next_leg(id, anew)` (the edge makes the next leg's prompt; anew: from the answer so far).
 """
 
+from martenrouter.rules import NEVER_RAN  # noqa: F401 - for the edge, which notes the forward that may have run
+
 MASK = (1 << 32) - 1
 WRITING, PAUSED = "writing", "paused"
 QUEUED, OUT, ANSWERED = "queued", "out", "answered"
@@ -50,6 +52,7 @@
         self.queue = []      # (rank, id, call): calls that wait for a place
         self.out_now, self.out_by_customer = 0, {}
         self.soonest = None  # when a pause is next to be looked at; never later than the truth
+        self._adopted = []
         self.took = {}       # tool -> usual time to its answer
 
     # ---- life of a conversation ----
@@ -190,6 +193,37 @@
                 times += [call.due for call in talk.calls.values() if call.state == OUT]
         return min(times, default=None)
 
+    # ---- taking over ----
+
+    def adopt_calls(self, now, talk, calls):
+        """`calls`: (id, name, repeatable, state, time since it was sent) from the edge's facts."""
+        for id, name, repeatable, state, ago in calls:
+            call = talk.calls[id] = Call(name, repeatable)
+            call.state, call.sent = state, now - ago
+            if state == QUEUED:
+                self.queue.append((talk.rank, talk.id, id))
+            elif state == OUT:
+                self.out_now += 1
+                self.out_by_customer[talk.customer] = self.out_by_customer.get(talk.customer, 0) + 1
+                left = max(talk.deadline - now, 0)
+                call.due = now + int(min(max(self.settings["tool_call_within"] - ago, 0), left * self.PART_FOR_CALLS))
+                self._note(call.due)
+
+    def adopt_pause(self, now, talk, holder, born, since):
+        """A pause that another decider began `since` microseconds ago; what it holds is kept as long as it would have."""
+        talk.state = PAUSED
+        if holder:
+            talk.holder, talk.holder_born, talk.hold_until = holder, born, now + max(self.hold_for - since, 0)
+            self._note(talk.hold_until)
+        self._note(talk.deadline - 2 * self.settings["round"] - 2000)
+        if self.ready(talk):
+            self._adopted.append(talk)
+
+    def adopted_ready(self):
+        """Pauses that had all their results when they were taken over, once."""
+        ready, self._adopted = self._adopted, []
+        return [talk for talk in ready if talk.id in self.talks and talk.state == PAUSED]
+
     # ---- going on ----
 
     def where(self, talk, engine, suspected):
--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -105,7 +105,8 @@
         else:
             data = wire.write(host, forward.id, r.trace, self.model, r.body, max(r.max_tokens - len(r.texts), 1),
                               forward.state, r.key, r.tools, r.goes_on)
-        self.record("forward_out", forward=forward.id, req=r.id, engine=forward.engine, role=forward.role, trace=r.trace)
+        self.record("forward_out", forward=forward.id, req=r.id, engine=forward.engine, role=forward.role, trace=r.trace,
+                    by=hear.desk.who())
         try:
             connection.sendall(data)
         except OSError as why:
--- a/martenrouter/edge/facts.py
+++ b/martenrouter/edge/facts.py
@@ -10,7 +10,8 @@
     __slots__ = ("id", "trace", "group", "customer", "session", "key", "key_at", "digest", "deadline", "arrived",
                  "messages", "size", "body", "goes_on", "tools", "repeatable", "max_tokens",
                  "leg", "used", "forwards", "owner", "held", "texts", "step", "step_texts", "step_calls", "calls",
-                 "listeners", "left_at", "answered", "swamped", "usage", "finish")
+                 "listeners", "left_at", "answered", "swamped", "usage", "finish",
+                 "told", "conn_id", "leg_at", "since", "reader", "effect", "rewrites", "paused")
 
     def __init__(self, id, arrived):
         self.id, self.arrived = id, arrived
@@ -24,6 +25,10 @@
         self.listeners, self.left_at = [], None
         self.answered = self.swamped = self.goes_on = False
         self.usage, self.finish = [0, 0], None
+        # what a decider is rebuilt from: `arrived` as it was posted, since when this leg, since when what is held waits,
+        # where its state was read or kept, the first forward of the leg that may have run (n, engine, sent)
+        self.told, self.conn_id, self.leg_at, self.since = None, 0, arrived, arrived
+        self.reader, self.effect, self.rewrites, self.paused = None, None, 0, False
 
     @property
     def leg_id(self):
@@ -39,11 +44,11 @@
 
 
 class ToolCall:
-    __slots__ = ("identity", "rpc_id", "whole", "result", "failed", "conn", "step", "wanted")
+    __slots__ = ("identity", "rpc_id", "whole", "result", "failed", "conn", "step", "wanted", "sent_at")
 
     def __init__(self, identity, rpc_id, whole, step):
         self.identity, self.rpc_id, self.whole, self.step = identity, rpc_id, whole, step
-        self.result, self.failed, self.conn, self.wanted = None, False, None, False
+        self.result, self.failed, self.conn, self.wanted, self.sent_at = None, False, None, False, 0
 
 
 class Held:
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -14,17 +14,20 @@
 
 from martenrouter.decisions.chain import Chain
 from martenrouter.decisions.connections import Connections
-from martenrouter.decisions.conversations import req_of
+from martenrouter.decisions.conversations import NEVER_RAN, req_of
 from martenrouter.decisions.lengths import Lengths
 from martenrouter.edge import clock
 from martenrouter.edge.desk import CHAIN, Desk
 from martenrouter.edge.door import Door
 from martenrouter.edge.engines import Engines, Stopped
+from martenrouter.edge.handover import facts
 from martenrouter.edge.facts import Forward, Held, KeptAnswer, Listener, Req, ToolCall
+from martenrouter.edge.planner_door import PlannerDoor
 from martenrouter.edge.roster import Roster
 from martenrouter.settings import front as settings_of
 from martenrouter.state import records
 from martenrouter.wire import jsonrpc, tools
+from martenrouter.wire.channel import VERSION, Welcome
 
 OVERDUE_LOOK = 0.05  # seconds: looks for reqs that a failed round left behind
 
@@ -44,8 +47,11 @@
         self.boot = "%x" % (clock.wall() // 1000)  # tells this process's forwards from those of one before
         self.lengths = Lengths()
         limits = settings.limits
-        self.desk = Desk(Chain(settings.seed, settings_of.for_module(settings), settings_of.for_chain(settings)), self,
-                         settings_of.us(settings.round_ms), log)
+        module, chain = settings_of.for_module(settings), settings_of.for_chain(settings)
+        self.desk = Desk(lambda: Chain(settings.seed, module, chain), self, lambda: facts(self),
+                         settings_of.us(settings.round_ms), self.counters, log)
+        self.plan = PlannerDoor(settings.planner, self.desk, Welcome(VERSION, settings.name, settings.seed, module, chain),
+                                self.counters, log) if settings.planner else None
         self.engines = Engines(Connections(limits.idle_connections_an_engine), settings_of.us(limits.connect_within_ms),
                                settings.model, self.record, self.counters, log)
         self.door = Door(settings_of.address(settings.listen, "listen"), limits, self, self.counters, self.record, log)
@@ -63,6 +69,8 @@
         self.door.start()
         self.roster.start()
         self.desk.start()
+        if self.plan:
+            self.plan.start()
         gevent.spawn(self._look_after)
         self.log.info("front_started", name=self.settings.name, listen=self.settings.listen, pid=os.getpid())
 
@@ -91,6 +99,8 @@
             while self.reqs:
                 gevent.sleep(0.01)
         self.door.shut_all(min(within, 1))
+        if self.plan:
+            self.plan.stop()
         self.log.info("front_stopped", unanswered=self._count(), **self.counters)
         self.done.set()
 
@@ -119,7 +129,7 @@
                 "rounds": self.desk.rounds, "round_us": {"p50": cost.get_value_at_percentile(50),
                                                          "p99": cost.get_value_at_percentile(99),
                                                          "max": cost.get_max_value()},
-                "faults": self.desk.faults, "list": [self.roster.members.epoch, self.roster.members.version],
+                "faults": self.desk.faults, "decides": self.desk.who(), "epoch": self.desk.takeover.epoch, "list": [self.roster.members.epoch, self.roster.members.version],
                 "engines": len(self.engines.addresses), "counters": dict(self.counters)}
 
     def _list_came(self, call, version, scope, rows):
@@ -173,8 +183,10 @@
         hint = settings_of.us(told.expected_tokens * group.token_target_ms) if told.expected_tokens else None
         self.counters["taken"] += 1
         self.record("req_in", req=r.id, conn=conn.id, id=rpc_id, trace=r.trace, group=group.name, deadline=r.deadline)
-        self.desk.post("arrived", r.id, group.name, told.customer, told.session, r.deadline, hint, prefix,
-                       self.lengths.guess(group.name, r.size), shared, r.max_tokens, 1 if hint else 0, conn.id)
+        r.told = (group.name, told.customer, told.session, r.deadline, hint, prefix,
+                  self.lengths.guess(group.name, r.size), shared, r.max_tokens, 1 if hint else 0)
+        r.conn_id = conn.id
+        self.desk.post("arrived", r.id, *r.told, conn.id)
         return None
 
     def _known(self, conn, rpc_id, told, digest):
@@ -343,7 +355,7 @@
         if not r.leg:
             self.lengths.told(r.group.name, r.size, prompt_tokens)
         if not forward.over:
-            r.held = Held(forward.engine, forward.id, state)
+            r.held, r.reader = Held(forward.engine, forward.id, state), forward.engine
 
     def ended(self, forward, ending, note):
         """A forward's end, exactly once each; what comes after a cancel is dropped."""
@@ -370,13 +382,17 @@
                 "done", "step", "full", "unreachable")):
             # its step may have ended there, with a state kept that was never heard of
             self._spawn_let_go(forward.engine, forward.id, r)
-        elapsed = clock.now() - forward.sent
+        r.since = clock.now()
+        elapsed = r.since - forward.sent
+        if forward.role != "read" and r.effect is None and ending not in NEVER_RAN and forward.leg == r.leg_id:
+            r.effect = forward.n, forward.engine, forward.sent
         if forward.usage is not None:
             r.usage[0] += forward.usage.prompt_tokens
             r.usage[1] += forward.usage.completion_tokens
         if ending == "step" and not r.answered:
+            r.paused = True
             if forward.kept is not None:
-                r.held = Held(forward.engine, forward.id, forward.kept)
+                r.held, r.reader = Held(forward.engine, forward.id, forward.kept), forward.engine
             self.desk.post("step", forward.leg, forward.n, forward.engine, elapsed, forward.load, r.held is not None,
                            [(call.identity, call.whole.name, r.repeatable.get(call.whole.name, False))
                             for call in r.step_calls if call.result is None], *self._size(r))
@@ -485,7 +501,7 @@
         r = self._open(id)
         if r is not None:
             call = r.calls[identity]
-            call.wanted = True
+            call.wanted, call.sent_at = True, clock.now()
             self._send_call(r, call)
 
     def _send_call(self, r, call):
@@ -510,7 +526,8 @@
         if r is None:
             return
         r.leg += 1
-        r.used, r.owner = 0, None
+        r.used, r.owner, r.effect, r.paused, r.leg_at = 0, None, None, False, clock.now()
+        r.rewrites += anew
         if anew:
             self.counters["answer_read_anew"] += 1
             so_far = "".join(r.step_texts)
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -1,6 +1,7 @@
 """Plays a scenario through real fronts on loopback: list service, engines, fronts as processes, clients in this one."""
 import os
 import random
+import signal
 import tempfile
 import time
 
@@ -103,6 +104,7 @@
                                   for kind, role in ROLES.items()],
                         "cold": self._cold(),
                         "log": {"form": "json", "level": "info"},
+                        **({"planner": os.path.join(self.logs, name + ".sock")} if scenario.planners else {}),
                         **{key: value for key, value in scenario.settings.items() if key != "groups"}}
             settings_of.check(settings, scenario.name)
             path = os.path.join(self.logs, name + ".jsonnet")
@@ -119,6 +121,8 @@
         self._list(*[self._entry(id, "up") for id in self.specs])
         for i in range(scenario.fronts):
             self.processes["front-%d" % i].wait_for(self.addresses["front-%d" % i])
+            if scenario.planners:
+                self._process("planner-%d" % i, ["planner", os.path.join(self.logs, "front-%d.sock" % i)])
         gevent.sleep(scenario.list_late_ms / 1000 + 0.3)
 
     def _cold(self):
@@ -244,6 +248,21 @@
     def _list_epoch(self, fault, *_):
         self._list_op({"op": "epoch"})
 
+    def _planner_kill(self, fault, targets, _):
+        for name in targets:
+            planner = self.processes[name.replace("front", "planner")]
+            self.record("planner_killed", front=name)
+            planner.kill()
+            gevent.sleep(self._s(fault.again))
+            planner.start()
+
+    def _planner_stop(self, fault, targets, _):
+        for name in targets:
+            planner = self.processes[name.replace("front", "planner")]
+            planner.popen.send_signal(signal.SIGSTOP)
+            gevent.sleep(self._s(fault.length))
+            planner.popen.send_signal(signal.SIGCONT)
+
     def _front_kill(self, fault, targets, _):
         for name in targets:
             self.record("front_killed", front=name)
--- a/martenrouter/lab/scenario.py
+++ b/martenrouter/lab/scenario.py
@@ -10,7 +10,7 @@
 
 Kind = typing.Literal["hang", "slow", "refuse", "error", "reset_after", "stall_after", "no_finish", "garbage", "half_open",
                       "forget", "link", "crash", "drain", "list_late", "list_silent", "list_back", "list_epoch",
-                      "front_kill", "burst", "bad_arguments", "endless_arguments"]
+                      "front_kill", "burst", "bad_arguments", "endless_arguments", "planner_kill", "planner_stop"]
 
 
 class _Part(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -68,6 +68,7 @@
     about: str
     seconds: float = 8
     fronts: int = 2
+    planners: bool = False       # a planner of its own for each front
     cells: list[Cell] = msgspec.field(default_factory=lambda: [Cell(rd=1, wr=1), Cell(rd=1, wr=1)])
     reader: dict[str, typing.Any] = {}
     writer: dict[str, typing.Any] = {}
@@ -98,6 +99,8 @@
                               % (path, i, fault.target, ", ".join(sorted(engines))))
         if fault.kind == "front_kill" and fault.target not in fronts:
             raise BadSettings("%s: at faults[%d].target: front_kill needs a front, as in front-0" % (path, i))
+        if fault.kind.startswith("planner") and (fault.target not in fronts or not scenario.planners):
+            raise BadSettings("%s: at faults[%d]: needs a front as its target, and planners: true" % (path, i))
         if not 0 <= fault.at <= scenario.seconds:
             raise BadSettings("%s: at faults[%d].at: is not within the day's %g s" % (path, i, scenario.seconds))
     return scenario
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -82,7 +82,8 @@
     """One engine as this front knows it; a link is kept alike, as it too answers late or not at all."""
 
     def __init__(self, id):
-        self.id, self.up, self.role, self.memory, self.born, self.cell = id, False, "", 0, 0, None
+        self.id, self.up, self.role, self.memory, self.born = id, False, "", 0, 0
+        self.cell = self.zone = None
         self.waiting = {}       # forwards out that have neither started nor ended, oldest first
         self.pending = 0        # prompt tokens of those
         self.streams = 0        # tokens of this front's forwards out at a writer, started or not
@@ -195,12 +196,39 @@
         seen[1].add(self.now, 1)
 
     def resumed(self, id, *told):
-        """A req whose state waits at an engine already: an answer that paused for a tool. `here` goes on right there."""
+        """A req whose state waits at an engine already, an answer that paused for a tool: `here` goes on there."""
         self.arrived(id, *told[:-2])
         r, engine, here = self.reqs[id], self.engines[told[-2]], told[-1]
         r.stage, r.reader, r.clock, r.held = READ, engine, self.now, True
         if here:
-            self.send(r, engine, False, self.links.setdefault((engine.cell, "port"), Engine((engine.cell, "port"))))
+            way = engine.cell, "port"
+            self.send(r, engine, False, self.links.setdefault(way, Engine(way)))
+
+    def adopted(self, id, told, age, stage, used, reader, since, held, effect, out):
+        """A req taken over in mid-life: `told` as in `arrived`, `age` ago; `since`: time from its last outcome;
+        `effect` and `out`: (n, engine, sent ago, started) of the forward that may have run, and of those out."""
+        now, writer = self.now, self.out
+        self.now, self.out = now - age, Record()
+        self.out.forward = lambda *_: None  # they are out already
+        self.arrived(id, *told)
+        r = self.reqs[id]
+        r.reader = self.engines.get(reader)
+        for n, engine, ago, started in ([effect] if effect else []) + out:
+            engine, r.used, self.now = self.engines.setdefault(engine, Engine(engine)), n, now - ago
+            way = r.reader and (r.reader.cell, "port" if r.reader.cell == engine.cell else "out")
+            reads = engine.role == "read"
+            link = None if reads or not way else self.links.setdefault(way, Engine(way))
+            self.send(r, engine, reads, link)
+            if started or effect and n == effect[0]:
+                r.out[n].started = True
+                self.ended_waiting(r.out[n])
+        if effect:
+            r.effect = r.out.pop(effect[0])
+            r.effect.engine.streams -= r.effect.tokens
+        self.now, self.out = now, writer
+        r.stage, r.used, r.clock, r.held = stage, used, now - since, held
+        if stage == STARTED:
+            self.live.pop(id, None)
 
     def over_share(self, r):
         """Whether its customer sends more than this front's part of the quota, with a second's allowance."""
--- a/martenrouter/settings/front.py
+++ b/martenrouter/settings/front.py
@@ -101,6 +101,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     cold: Cold = msgspec.field(default_factory=Cold)
     list: ListSource = msgspec.field(default_factory=lambda: ListSource(service="127.0.0.1:7800"))
+    planner: str | None = None  # path of the Unix socket that a planner connects to; without one the edge decides
     records: str | None = None
     log: Log = msgspec.field(default_factory=Log)
 
