--- a/bench/front.py
+++ b/bench/front.py
@@ -21,7 +21,7 @@
 from martenrouter.lab.processes import Ports, Process
 
 class Fleet:
-    def __init__(self, readers=1, writers=2, command=None):
+    def __init__(self, readers=1, writers=2, command=None, planner=False):
         self.dir, ports, self.processes = tempfile.mkdtemp(prefix="bench-"), Ports(), []
         self.told, entries = {"readers": [], "writers": []}, []
         for role, kind, count in (("readers", "rd", readers), ("writers", "wr", writers)):
@@ -42,7 +42,12 @@
                                  {"name": "wr", "role": "write", "memory_tokens": 4_000_000}],
                        "log": {"level": "warning"}}, file)
         self.told["fronts"] = [("127.0.0.1", port)]
-        self.front = self.start("front", ["edge", path], port, command)
+        self.plan = os.path.join(self.dir, "plan.sock")
+        self.front = self.start("front", ["edge", path, *(["--planner", self.plan] if planner else [])], port, command)
+        self.planner = Process("planner", ["planner", self.plan], os.path.join(self.dir, "planner.log")) if planner else None
+        if planner:
+            self.planner.start()
+            self.processes.append(self.planner)
         gevent.sleep(0.5)
 
     def start(self, name, arguments, port, command=None):
@@ -57,9 +62,9 @@
             process.kill()
         shutil.rmtree(self.dir, ignore_errors=True)
 
-    def cpu(self):
-        """Processor seconds of the front so far."""
-        with open("/proc/%d/stat" % self.front.popen.pid) as file:
+    def cpu(self, process=None):
+        """Processor seconds of the front (its edge) so far, or of another process."""
+        with open("/proc/%d/stat" % (process or self.front).popen.pid) as file:
             fields = file.read().rsplit(")", 1)[1].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
--- a/bench/fronts.py
+++ b/bench/fronts.py
@@ -3,6 +3,7 @@
 
 from martenrouter.cli.main import main
 from martenrouter.decisions.conversations import Conversations
+from martenrouter.decisions.takeover import Takeover
 
 
 def holds_to_its_writer():
@@ -25,6 +26,11 @@
         self, now, talk, engine, born, False, room, calls)
 
 
+def waits_for_its_planner():
+    """Takes over after three seconds only."""
+    Takeover.SILENT = 3_000_000
+
+
 def as_built():
     pass
 
--- a/martenrouter/cli/edge.py
+++ b/martenrouter/cli/edge.py
@@ -7,8 +7,9 @@
 @click.command("edge")
 @click.argument("path", required=False, type=click.Path())
 @click.option("--set", "given", multiple=True, metavar="NAME=VALUE", help="A parameter of the settings file.")
+@click.option("--planner", default=None, type=click.Path(), help="Unix socket for a planner, in place of the settings'.")
 @click.option("--with-stdin", is_flag=True, help="Stop at once when standard input ends: for programs that start a front.")
-def command(path, given, with_stdin):
+def command(path, given, planner, with_stdin):
     """Serves clients; settings from PATH (Jsonnet), or the embedded defaults.
 
     SIGTERM or SIGINT stops it cleanly, a second one at once.
@@ -18,6 +19,8 @@
     from martenrouter.edge.log import logger
     from martenrouter.settings.front import load
     settings = load(path, given)
+    if planner:
+        settings.planner = planner
     log = logger(settings.log.form, settings.log.level, front=settings.name)
     if with_stdin:
         stop_with_stdin()
@@ -25,5 +28,6 @@
     try:
         code = Front(settings, log).run()
     except OSError as why:
-        raise click.ClickException("%s: can't listen on %s: %s" % (settings.name, settings.listen, why)) from why
+        raise click.ClickException("%s: can't listen on %s%s: %s" % (
+            settings.name, settings.listen, " and " + settings.planner if settings.planner else "", why)) from why
     sys.exit(code)
--- a/martenrouter/cli/planner.py
+++ b/martenrouter/cli/planner.py
@@ -8,8 +8,9 @@
 @click.argument("socket_path", type=click.Path())
 @click.option("--log-form", type=click.Choice(["console", "json"]), default="console")
 @click.option("--slow-ms", default=0.0, help="Makes each round longer, for rehearsals.")
+@click.option("--store", default=None, type=click.Path(), help="Directory for snapshots of what was learnt.")
 @click.option("--with-stdin", is_flag=True, help="Stop at once when standard input ends.")
-def command(socket_path, log_form, slow_ms, with_stdin):
+def command(socket_path, log_form, slow_ms, store, with_stdin):
     """Connects to the edge that listens on SOCKET_PATH and decides for it until it is stopped."""
     from martenrouter.cli.life import end_with_stdin, settle_memory
     from martenrouter.edge.log import logger
@@ -18,7 +19,7 @@
     if with_stdin:
         end_with_stdin()
     try:
-        Planner(socket_path, logger(log_form, "info"), slow=slow_ms / 1000).run()
+        Planner(socket_path, logger(log_form, "info"), slow=slow_ms / 1000, store=store).run()
     except Refused as why:
         raise click.ClickException("the edge at %s refuses: %s" % (socket_path, why)) from why
     except KeyboardInterrupt:
--- a/martenrouter/decisions/learnt.py
+++ b/martenrouter/decisions/learnt.py
@@ -9,6 +9,7 @@
 ENGINE_SUMS, ENGINE_VALUES = ("late", "tries"), ("failed", "felt", "felt_at", "answered", "tested", "served_to", "born",
                                                  "load", "load_at", "streams_then")
 STALE = 60_000_000  # microseconds: kept text and reports older than a minute say nothing of a busy engine
+BORN_SLACK = 1_000_000  # a start told in wall time is converted anew by each front process; no engine starts in a second
 VERSION = 1
 
 
@@ -40,13 +41,34 @@
     }
 
 
+def shifted(told, by):
+    """The same with all its times moved: the clock of a machine that was started again begins anew."""
+    def sums(value):
+        return [value[0], value[1], value[2] + by, None if value[3] is None else value[3] + by]
+
+    def engine(sum_list, values):
+        times = ("felt_at", "answered", "tested", "served_to", "load_at")
+        return [sums(one) for one in sum_list], [
+            value + by if name in times and value else value for name, value in zip(ENGINE_VALUES, values)]
+    return {
+        **told, "at": told["at"] + by,
+        "engines": [[id, *engine(sum_list, values), kept] for id, sum_list, values, kept in told["engines"]],
+        "links": [[key, *engine(sum_list, values)] for key, sum_list, values in told["links"]],
+        "paces": [[name, sums(spent), sums(work)] for name, spent, work in told["paces"]],
+        "drained": sums(told["drained"]), "asked_for": sums(told["asked_for"]),
+        "buckets": [[key, level, at + by] for key, level, at in told["buckets"]],
+        **{name: [[key, *map(sums, values)] for key, *values in told[name]]
+           for name in ("told", "prefixes", "mean_work", "carried")}}
+
+
 def put(front, told, now):
     """Into a front that has its list already and no reqs yet. Engines that it doesn't list are passed over, and those that
     were started since learn anew. Returns how many engines got something."""
     old, count = now - told["at"] > STALE, 0
     for id, sums, values, kept in told["engines"]:
         engine = front.engines.get(id)
-        if engine is None or dict(zip(ENGINE_VALUES, values))["born"] != engine.born:
+        born = dict(zip(ENGINE_VALUES, values))["born"]
+        if engine is None or bool(born) != bool(engine.born) or abs(born - engine.born) > BORN_SLACK:
             continue
         _engine(engine, sums, values, old)
         engine.kept = {} if old else dict(map(tuple, kept))
--- a/martenrouter/planner/serve.py
+++ b/martenrouter/planner/serve.py
@@ -1,17 +1,22 @@
 """A planner: rounds in, decisions out, over the edge's Unix socket. Plain blocking code, nothing else runs in this process.
 
-It has no clock and no list of its own: the time of each round and all facts are the edge's. It can be killed at any moment; it
+It has no list of its own and decides by no clock of its own: the time of each round and all facts are the edge's. It can be killed at any moment; it
 connects again when the edge closes, which an edge does that found it silent.
 """
 import os
 import random
 import socket
+import threading
 import time
 
+from martenrouter.decisions.background import Background
 from martenrouter.decisions.chain import Chain
-from martenrouter.decisions.learnt import export
+from martenrouter.decisions.learnt import VERSION as LEARNT
+from martenrouter.decisions.learnt import export, shifted
+from martenrouter.state.snapshots import Snapshots, Unusable
 from martenrouter.wire import channel
 
+SNAPSHOT_EACH = 5_000_000  # microseconds: what is older by some seconds is as good, sums halve in four to sixty
 LEARNT_EACH = 64  # rounds between what has been learnt is left at the edge: some tenth of a second under load
 
 
@@ -27,8 +32,9 @@
 
 
 class Planner:
-    def __init__(self, path, log, name=None, slow=0.0):
-        """`slow`: seconds that each round takes longer, for rehearsals."""
+    def __init__(self, path, log, name=None, slow=0.0, store=None):
+        """`slow`: seconds that each round takes longer, for rehearsals; `store`: directory for snapshots, or None."""
+        self.store, self.snapshots, self.writer, self.background, self.work = store, None, None, None, None
         self.path, self.log, self.name, self.slow = path, log, name or "planner-%d" % os.getpid(), slow
         self.random = random.Random(os.getpid())
 
@@ -56,6 +62,7 @@
             for message in frames.feed(data):
                 if isinstance(message, channel.Welcome):
                     welcome = message
+                    self._open_store(welcome.front)
                     self.log.info("welcome", front=message.front)
                 elif isinstance(message, channel.Refused):
                     if "version" in message.reason:
@@ -63,13 +70,57 @@
                     raise OSError(message.reason)
                 elif isinstance(message, channel.Handover):
                     chain, epoch = Chain(welcome.seed, welcome.module, welcome.chain), message.epoch
-                    chain.adopt(message.now, message.facts, message.learnt)
-                    self.log.info("in_charge", epoch=epoch, open=len(message.facts["reqs"]))
+                    learnt = message.learnt or self._newest(message.now)
+                    chain.adopt(message.now, message.facts, learnt)
+                    self.background = Background(message.now)
+                    self.background.add(message.now, "snapshot", 1, SNAPSHOT_EACH)
+                    self.log.info("in_charge", epoch=epoch, open=len(message.facts["reqs"]),
+                                  learnt="edge" if message.learnt else "snapshot" if learnt else "nothing")
                 elif isinstance(message, channel.Round) and message.epoch == epoch:
                     sock.sendall(self._decide(chain, message))
+                    self._between(chain, message.now)
                 else:
                     raise channel.BadFrame("%s is not for a planner" % type(message).__name__)
 
+    # ---- what can wait ----
+
+    def _open_store(self, front):
+        if self.store is None or self.snapshots is not None:
+            return
+        try:
+            self.snapshots = Snapshots(os.path.join(self.store, front), front)
+        except Unusable as why:
+            self.log.warning("snapshots_unusable", why=str(why))
+            self.store = None
+
+    def _newest(self, now):
+        """What was learnt before this front was started, moved to its clock; old parts are not believed (see learnt.put)."""
+        if self.snapshots is None:
+            return None
+        wall, learnt, words = self.snapshots.newest()
+        for word in words:
+            self.log.warning("snapshot_set_aside", what=word)
+        if learnt is None or learnt.get("version") != LEARNT:
+            return None
+        age = max(time.time_ns() // 1000 - wall, 0)
+        return shifted(learnt, now - age - learnt["at"])
+
+    def _between(self, chain, now):
+        """A slice of background work, when its budget allows: the export here, the disk in a thread of its own."""
+        name = self.background.pick(now) if self.snapshots is not None else None
+        if name is None or self.writer is not None and self.writer.is_alive():
+            return
+        began = time.perf_counter_ns()
+        learnt = export(chain.front, now)
+        self.writer = threading.Thread(target=self._save, args=(time.time_ns() // 1000, learnt), daemon=True)
+        self.writer.start()
+        self.background.ran(now, name, (time.perf_counter_ns() - began) // 1000, True)
+
+    def _save(self, wall, learnt):
+        why = self.snapshots.save(wall, learnt)
+        if why:
+            self.log.warning("snapshot_not_saved", why=why, mend="look at the disk; deciding goes on")
+
     def _decide(self, chain, message):
         began, out = time.perf_counter_ns(), Writer()
         inbox = [(call, tuple(arguments)) for call, arguments in message.inbox]
--- /dev/null
+++ b/martenrouter/state/snapshots.py
@@ -0,0 +1,77 @@
+"""What a planner has learnt, kept on an embedded store (LMDB): a few newest ones, each versioned and checksummed.
+
+A snapshot is whole or it isn't used: what is torn, of another version or of another front is set aside under a key of its own
+with a word why, and the next older one is tried. Writing never raises for a full disk or a locked store: it says so.
+"""
+import os
+import zlib
+
+import lmdb
+import msgspec
+
+VERSION = 1
+KEPT = 3
+MAP_SIZE = 256 * 1024 * 1024  # bytes of address space; the file holds only what is written
+
+
+class Snapshot(msgspec.Struct, array_like=True):
+    version: int
+    front: str
+    wall: int      # microseconds
+    crc: int
+    learnt: bytes  # msgpack
+
+
+class Unusable(Exception):
+    """The store can't be opened; the text says why and what to do."""
+
+
+class Snapshots:
+    def __init__(self, path, front):
+        self.front = front
+        try:
+            os.makedirs(path, exist_ok=True)
+            self._env = lmdb.open(path, map_size=MAP_SIZE, max_dbs=0, lock=True)
+        except (lmdb.Error, OSError) as why:
+            raise Unusable("%s: can't be opened: %s; remove it to begin anew" % (path, why)) from why
+
+    def close(self):
+        self._env.close()
+
+    def save(self, wall, learnt):
+        """None, or why it was not saved."""
+        data = msgspec.msgpack.encode(learnt)
+        told = Snapshot(VERSION, self.front, wall, zlib.crc32(data), data)
+        try:
+            with self._env.begin(write=True) as txn:
+                txn.put(b"snap:%020d" % wall, msgspec.msgpack.encode(told))
+                keys = [key for key, _ in txn.cursor().iternext(values=True) if key.startswith(b"snap:")]
+                for key in keys[:-KEPT]:
+                    txn.delete(key)
+        except lmdb.Error as why:
+            return str(why)
+        return None
+
+    def newest(self):
+        """(wall, learnt, words about what was set aside); (0, None, …) without a whole one."""
+        words = []
+        with self._env.begin(write=True) as txn:
+            found = [(bytes(key), bytes(value)) for key, value in txn.cursor() if key.startswith(b"snap:")]
+            for key, value in reversed(found):
+                why, told = None, None
+                try:
+                    told = msgspec.msgpack.decode(value, type=Snapshot)
+                    if told.version != VERSION:
+                        why = "of version %d, this program writes %d" % (told.version, VERSION)
+                    elif told.front != self.front:
+                        why = "of front %s" % told.front
+                    elif zlib.crc32(told.learnt) != told.crc:
+                        why = "torn: its checksum differs"
+                    else:
+                        return told.wall, msgspec.msgpack.decode(told.learnt), words
+                except msgspec.MsgspecError as problem:
+                    why = "no snapshot: %s" % problem
+                words.append("%s set aside: %s" % (key.decode(), why))
+                txn.put(key.replace(b"snap:", b"bad:"), value)
+                txn.delete(key)
+        return 0, None, words
--- a/tests/sockets/test_hard_cases.py
+++ b/tests/sockets/test_hard_cases.py
@@ -381,6 +381,8 @@
 
 
 class Stopping(Case):
+    COMMAND = "edge"
+
     def edge(self, engines, **settings):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
@@ -394,7 +396,7 @@
             port = sock.getsockname()[1]
         with open(path, "w") as file:
             json.dump({"listen": "127.0.0.1:%d" % port, "groups": GROUPS, "list": {"file": listing}, **settings}, file)
-        popen = subprocess.Popen([sys.executable, "-m", "martenrouter", "edge", path], stderr=subprocess.PIPE)
+        popen = subprocess.Popen([sys.executable, "-m", "martenrouter", self.COMMAND, path], stderr=subprocess.PIPE)
         self.addCleanup(popen.stderr.close)
         self.addCleanup(popen.wait)
         self.addCleanup(popen.kill)
--- /dev/null
+++ b/tests/sockets/test_supervisor.py
@@ -0,0 +1,72 @@
+"""`martenrouter front`: two programs under one, the planner started again, both stopped in order."""
+import os
+import signal
+import unittest
+
+import gevent
+
+from tests.sockets.rig import Engine, ending
+from tests.sockets.test_hard_cases import Stopping
+
+
+class Front(Stopping):
+    """The stops of an edge alone hold for both programs too."""
+
+    COMMAND = "front"
+
+    def status(self, client, decides, within=10):
+        with gevent.Timeout(within, AssertionError("%s does not decide" % decides)):
+            while client.call("status", {}, within=2)["result"]["decides"] != decides:
+                gevent.sleep(0.05)
+
+    def children(self, pid):
+        found = {}
+        for other in filter(str.isdigit, os.listdir("/proc")):
+            try:
+                with open("/proc/%s/stat" % other) as file:
+                    parent = int(file.read().rsplit(")", 1)[1].split()[1])
+                with open("/proc/%s/cmdline" % other) as file:
+                    words = file.read().split("\0")
+            except OSError:
+                continue
+            if parent == pid and "martenrouter" in words:
+                found[words[words.index("martenrouter") + 1]] = int(other)
+        return found
+
+    def test_the_planner_is_started_again_and_the_edge_goes_on(self):
+        popen, client = self.edge([Engine("r", "rd"), Engine("w", "wr")])
+        for _ in range(2):
+            self.status(client, "planner")
+            os.kill(self.children(popen.pid)["planner"], signal.SIGKILL)
+            ids = [client.begin("generate", {"prompt": "x %d" % i}) for i in range(20)]
+            self.assertEqual({ending(client.wait(id, 5)) for id in ids}, {"done"})
+        self.status(client, "planner")
+        popen.send_signal(signal.SIGTERM)
+        self.assertEqual(self.wait(popen, 5), 0)
+
+    def test_the_edges_end_is_the_fronts_and_nothing_is_left(self):
+        popen, client = self.edge([Engine("r", "rd"), Engine("w", "wr")])
+        self.status(client, "planner")
+        children = self.children(popen.pid)
+        os.kill(children["edge"], signal.SIGKILL)
+        self.assertNotEqual(self.wait(popen, 5), 0)
+        popen, client = self.edge([Engine("r", "rd"), Engine("w", "wr")])
+        self.status(client, "planner")
+        children.update(self.children(popen.pid))
+        popen.kill()
+        with gevent.Timeout(5, AssertionError("programs are left")):
+            while any(self.alive(pid) for pid in children.values()):
+                gevent.sleep(0.05)
+
+    def alive(self, pid):
+        try:
+            with open("/proc/%d/cmdline" % pid) as file:
+                return bool(file.read())  # a process that has ended and is not reaped has none
+        except OSError:
+            return False
+
+
+del Stopping  # run by its own file
+
+if __name__ == "__main__":
+    unittest.main()
