--- a/bench/conversations.py
+++ b/bench/conversations.py
@@ -40,7 +40,7 @@
     finally:
         shutil.rmtree(rehearsal.logs, ignore_errors=True)
         shutil.rmtree(directory, ignore_errors=True)
-    asked = {record["trace"]: record["t"] for record in told if record["ev"] == "req_out"}
+    asked = {record["trace"]: record["t"] for record in told if record["ev"] == "req_out" and record["who"] == "clients"}
     done = [record["t"] - asked[record["trace"]] for record in told if record["ev"] == "final_in" and record["ending"] == "done"]
     read = sum(record["read"] for record in told if record["ev"] == "held")
     return len(asked), sum(time <= TARGET for time in done), len(done), read
--- a/tests/sockets/test_planner.py
+++ b/tests/sockets/test_planner.py
@@ -35,8 +35,8 @@
         self.addCleanup(rig.front.plan.stop)
         return rig
 
-    def planner(self, *arguments):
-        popen = subprocess.Popen([sys.executable, "-m", "martenrouter", "planner", self.path, *arguments],
+    def planner(self, *arguments, program=("martenrouter",)):
+        popen = subprocess.Popen([sys.executable, "-m", *program, "planner", self.path, *arguments],
                                  stderr=subprocess.DEVNULL)
         self.planners.append(popen)
         self.addCleanup(popen.wait)
@@ -141,6 +141,66 @@
         self.assertEqual(rig.front.counters["taken_over"], 3)
         self.assertEqual(rig.front.reqs, {})
 
+    def test_killed_at_each_step_of_a_round(self):
+        rig = self.rig(*self.fleet(script=slowly))
+        taken = 0
+        for step in ("before", "decided", "half", "after"):
+            for group in ("chat", "order"):
+                with self.subTest(step=step, group=group):
+                    planner = self.planner(program=("tests.sockets.dying", step, "12"))
+                    self.in_charge(rig)
+                    client, ids = self.load(rig, 30, group=group)
+                    self.assertEqual(set(self.ends(client, ids)), {"done"})
+                    rig.until(lambda: planner.poll() == 7)
+                    taken += 1
+                    rig.until(lambda: rig.front.counters["taken_over"] == taken)
+                    rig.front.desk.takeover.faults = 0
+        writes = [call for e in rig.engines.values() if e.kind == "wr" for call in e.calls]
+        self.assertEqual(len(writes), 240)  # none was written twice
+
+    def test_a_hand_over_with_many_open_reqs(self):
+        rig = self.rig(*self.fleet(script=lambda e, sock, told, n: gevent.sleep(1.5) or e.answer(sock, told)),
+                       limits={"open_reqs_a_connection": 2000})
+        client, ids = self.load(rig, 500, 0.0005, deadline_ms=20_000, max_tokens=8)
+        planner = self.planner()
+        self.in_charge(rig)
+        gevent.sleep(0.3)
+        planner.kill()
+        endings = self.ends(client, ids)
+        self.assertEqual(len(endings), 500)
+        self.assertLessEqual(set(endings), {"done", "pushed back"})
+        self.assertEqual((rig.front.reqs, rig.front.counters["answered_overdue"]), ({}, 0))
+
+    def test_the_planner_outlives_its_edge(self):
+        first = self.rig(*self.fleet())
+        self.planner()
+        self.in_charge(first)
+        first.front.plan.stop()
+        first.front.desk.link.close()
+        gevent.sleep(0.1)
+        second = self.rig(*self.fleet())
+        self.in_charge(second)
+        self.assertEqual(ending(second.ask()[0]), "done")
+
+    def test_what_was_learnt_is_there_after_both_were_started_again(self):
+        store = os.path.join(self.dir.name, "store")
+        for known in (False, True):
+            rig = self.rig(*self.fleet(), name="front-x")
+            planner = self.planner("--store", store)
+            self.in_charge(rig)
+            client, ids = self.load(rig, 10)
+            self.ends(client, ids)
+            if not known:
+                rig.until(lambda: os.path.exists(os.path.join(store, "front-x", "data.mdb")), 2)
+                gevent.sleep(5.5)  # one snapshot's time
+            planner.kill()
+            planner.wait()
+            rig.close()
+            rig.front.plan.stop()
+        from martenrouter.state.snapshots import Snapshots
+        wall, learnt, words = Snapshots(os.path.join(store, "front-x"), "front-x").newest()
+        self.assertEqual(({engine[0] for engine in learnt["engines"]}, words), ({"r", "r2", "w0", "w1", "w2"}, []))
+
     def test_stopped_and_woken_its_old_decisions_do_not_act(self):
         rig = self.rig(*self.fleet(script=slowly))
         planner = self.planner()
--- a/tests/sockets/test_supervisor.py
+++ b/tests/sockets/test_supervisor.py
@@ -1,6 +1,8 @@
 """`martenrouter front`: two programs under one, the planner started again, both stopped in order."""
 import os
 import signal
+import subprocess
+import sys
 import unittest
 
 import gevent
@@ -44,6 +46,22 @@
         popen.send_signal(signal.SIGTERM)
         self.assertEqual(self.wait(popen, 5), 0)
 
+    def test_a_planner_that_crashes_in_a_loop_costs_nothing_but_its_place(self):
+        code = ("import sys, structlog\nfrom martenrouter.planner.supervisor import Supervisor\n"
+                "from martenrouter.edge.log import logger\n"
+                "sleep = [sys.executable, '-c', 'import sys, time; time.sleep(30)']\n"
+                "ends = [sys.executable, '-c', 'import sys; sys.exit(9)']\n"
+                "sys.exit(Supervisor(sleep, ends, 1, logger('json', 'info')).run())")
+        popen = subprocess.Popen([sys.executable, "-c", code], stderr=subprocess.PIPE)
+        self.addCleanup(popen.stderr.close)
+        self.addCleanup(popen.kill)
+        gevent.sleep(6)
+        self.assertIsNone(popen.poll())
+        popen.send_signal(signal.SIGTERM)
+        said = popen.communicate(timeout=10)[1].decode()
+        self.assertIn("planner_loops", said)
+        self.assertLess(said.count('"program": "planner"'), 9)
+
     def test_the_edges_end_is_the_fronts_and_nothing_is_left(self):
         popen, client = self.edge([Engine("r", "rd"), Engine("w", "wr")])
         self.status(client, "planner")
