--- a/bench/conversations.py
+++ b/bench/conversations.py
@@ -81,9 +81,10 @@
 @click.command()
 @click.option("--seeds", default=2)
 @click.option("--paused", "count", default=1000)
-def main(seeds, count):
+@click.option("--tool-ms", "tools", multiple=True, type=float, default=(80, 400), help="Usual time of a tool.")
+def main(seeds, count, tools):
     print("%-8s %-5s %-20s %9s %9s %18s" % ("tool ms", "hung", "way", "in target", "done", "prompt tokens each"))
-    for tool_ms in (80, 400):
+    for tool_ms in tools:
         for hung in (0, 1, 2):
             for way in WAYS:
                 runs = [play(way, hung, tool_ms, seed) for seed in range(1, seeds + 1)]
--- a/martenrouter/standins/judge.py
+++ b/martenrouter/standins/judge.py
@@ -217,9 +217,10 @@
         for held in self.by_ev["held"]:
             read, engine = held["forward"], held["who"]
             stops = [t for t, _ in ends[read] if t >= held["t"] - TRANSIT]
-            stops += [record["t"] for record in deaths.get(engine, ()) if record["t"] >= held["t"]]
-            stops += [record["t"] for record in self.by_ev["front_killed"] + self.by_ev["front_stopped"]
-                      if read.startswith(record["front"] + "-") and record["t"] >= held["t"]]
+            # a kill is recorded before it is done: what was written in between died with its process
+            stops += [max(record["t"], held["t"]) for record in deaths.get(engine, ()) if record["t"] >= held["t"] - TRANSIT]
+            stops += [max(record["t"], held["t"]) for record in self.by_ev["front_killed"] + self.by_ev["front_stopped"]
+                      if read.startswith(record["front"] + "-") and record["t"] >= held["t"] - TRANSIT]
             stops += [max(t, held["t"]) for who, t in deaf if who == engine]
             stop = min(stops, default=end)
             # spans in which no forward of the req was out: until the next write that takes it, and after one's end
