--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -122,7 +122,8 @@
         for i in range(scenario.fronts):
             self.processes["front-%d" % i].wait_for(self.addresses["front-%d" % i])
             if scenario.planners:
-                self._process("planner-%d" % i, ["planner", os.path.join(self.logs, "front-%d.sock" % i)])
+                self._process("planner-%d" % i, ["planner", os.path.join(self.logs, "front-%d.sock" % i), *(
+                    ["--store", os.path.join(self.logs, "store")] if scenario.store else [])])
         gevent.sleep(scenario.list_late_ms / 1000 + 0.3)
 
     def _cold(self):
--- a/martenrouter/lab/scenario.py
+++ b/martenrouter/lab/scenario.py
@@ -69,6 +69,7 @@
     seconds: float = 8
     fronts: int = 2
     planners: bool = False       # a planner of its own for each front
+    store: bool = False          # planners keep snapshots of what they learnt
     cells: list[Cell] = msgspec.field(default_factory=lambda: [Cell(rd=1, wr=1), Cell(rd=1, wr=1)])
     reader: dict[str, typing.Any] = {}
     writer: dict[str, typing.Any] = {}
