--- a/tests/sockets/rig.py
+++ b/tests/sockets/rig.py
@@ -24,7 +24,7 @@
 
     def __init__(self, id, kind, cell=0, script=None, words=("a", "b", "c")):
         self.id, self.kind, self.cell, self.script, self.words = id, kind, cell, script, words
-        self.calls, self.released, self.phase, self.start = [], [], "up", 0
+        self.calls, self.released, self.phase, self.start, self.socks = [], [], "up", 0, set()
         self.server = StreamServer(("127.0.0.1", 0), self._accepted)
         self.server.start()
 
@@ -34,6 +34,7 @@
 
     def _accepted(self, sock, _):
         reader, body = http.RequestReader(), []
+        self.socks.add(sock)
         try:
             while True:
                 data = sock.recv(65536)
@@ -49,6 +50,14 @@
         except OSError:
             pass
         finally:
+            self.socks.discard(sock)
+            sock.close()
+
+    def die(self):
+        """As a killed process does: nothing listens, and its open connections are reset."""
+        self.server.stop()
+        for sock in list(self.socks):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             sock.close()
 
     def _call(self, sock, head, told):
--- a/tests/sockets/test_conversations.py
+++ b/tests/sockets/test_conversations.py
@@ -169,7 +169,31 @@
 
     def test_the_writer_dies_in_the_pause(self):
         rig = self.rig(*self.writers())
-        answer, came = self.answer_when(rig, lambda rig: self.first_writer(rig).server.stop())
+        answer, came = self.answer_when(rig, lambda rig: self.first_writer(rig).die())
+        self.assertEqual((ending(answer), self.tokens(came), len(self.calls(came))), ("done", ["so ", "a", "b", "c"], 1))
+
+    def test_the_writer_is_found_slow_in_the_pause(self):
+        """Its health is set as a row of failures would; the state is fetched from it by another writer."""
+        rig = self.rig(*self.writers())
+
+        def condemn(rig):
+            condemn.first = self.first_writer(rig)
+            rig.front.desk.chain.front.engines[condemn.first.id].failed = 3
+        answer, came = self.answer_when(rig, condemn)
+        self.assertEqual((ending(answer), self.tokens(came)), ("done", ["so ", "a", "b", "c"]))
+        later = [call for engine in rig.engines.values() if engine.kind == "wr" and engine is not condemn.first
+                 for call in engine.calls]
+        self.assertEqual([call["kv_transfer_params"]["remote_engine_id"] for call in later], [condemn.first.id])
+        self.assertEqual(len(rig.engines["r"].calls), 1)
+
+    def test_the_reader_with_the_prompt_kept_dies_in_a_long_pause(self):
+        rig = self.rig(Engine("r", "rd"), Engine("r2", "rd"), Engine("w", "wr", script=ONE))
+
+        def die(rig):
+            home = max((rig.engines["r"], rig.engines["r2"]), key=lambda engine: len(engine.calls))
+            home.die()
+            gevent.sleep(0.5)  # the writer's state is let go meanwhile
+        answer, came = self.answer_when(rig, die)
         self.assertEqual((ending(answer), self.tokens(came), len(self.calls(came))), ("done", ["so ", "a", "b", "c"], 1))
 
     def test_reply_and_death_in_the_same_round(self):
@@ -181,7 +205,7 @@
         first = self.first_writer(rig)
         r, call = next(iter(rig.front.tool_calls.values()))
         rows = [("gone", 1.0, "z", first.id, 0, "wr", None)]
-        first.server.stop()
+        first.die()
         call.result = "42"
         rig.front.desk.post("listed", 99, "changes", rows)
         rig.front.desk.post("tool", r.id, call.identity, *rig.front._size(r))
