Hand-over in parts: 5,000 open reqs no longer keep a planner from taking charge

Need: on sockets, a hand-over of 5,000 open reqs took longer than the 80 ms after which a planner counts as silent, so it was taken over again before its first round, for ever. Change: reqs that need deciding come at once, begun answers and calm pauses a hundred a round; events of those still to come are part of their facts and dropped. The same way when the edge takes over. Facts now also say that a client reads too slowly and that a call with effects was dropped, which a takeover lost before; the usual gap of streams is learnt and handed on. The edge's status tells how late its loop was. Module and adapter untouched.

--- a/bench/planner.py
+++ b/bench/planner.py
@@ -35,8 +35,8 @@
                          "leg": 0, "steps": 0, "rewrites": 0, "effects": False, "prompt": 500, "left": 64, "flowed": 0,
                          "paused": False, "holder": None, "calls": [], "age": 9000, "stage": stage, "used": (0, 1, 1, 2, 2)[stage],
                          "reader": "rd1" if stage > 1 else None, "since": 4000, "held": stage in (2, 3), "out": out,
-                         "broke": False, "effect": None})
-        facts = {"version": 1, "rows": rows, "reqs": reqs, "stopping": False}
+                         "broke": False, "effect": None, "swamped": False, "orphan": False})
+        facts = {"version": 1, "rows": rows, "reqs": reqs, "stopping": False, "later": []}
         began = time.perf_counter()
         data = channel.encode(channel.Handover(1, 1_000_000, facts))
         message, = channel.Frames().feed(data)
--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -7,6 +7,7 @@
     swamped(id)                  a client reads too slowly
     call(id, call, name, repeatable)           a tool call is whole while its step still streams
     step(id, n, engine, elapsed, load, held, calls, prompt, left)   a step ended with tool calls; held: its state is kept
+    adopt(id, facts)             what follows of a req that the decider before had; None when it has been answered
     changed(id, call)            the step, written anew, asks for something else at that call's place
     tool(id, call, prompt, left)               a call has its result; prompt: tokens of the answer so far with all results
     stop()                       nothing new from now on
@@ -17,10 +18,11 @@
 """
 from martenrouter.decisions.admission import Admission
 from martenrouter.decisions.conversations import Conversations, leg_id, req_of
-from martenrouter.decisions.learnt import put
+from martenrouter.decisions.learnt import export, put
 from martenrouter.decisions.streams import Streams
 from martenrouter.rules import Front
 
+OF_A_REQ = frozenset("first_token outcome gone swamped call changed step tool".split())  # calls that begin with an id
 STREAM_LOOK = 200_000  # stalls are judged in seconds; looking each fifth of one is early enough
 
 
@@ -31,7 +33,8 @@
         self.talks = Conversations(settings)
         self.settings, self.groups = settings, settings["groups"]
         self.whole = {}      # open req -> (group, deadline of the whole answer)
-        self._ended_before = []
+        self._ended_before, self._swamped_before, self._orphans = [], [], []
+        self.pending = set()  # open reqs of a decider before this one, of which the facts are still to come
         self.next_legs = []  # calls of the module that begin legs found due in this round
         self.stop_by = None
         self.looked, self.wake_at = 0, 0
@@ -41,6 +44,8 @@
         self.now, self.out = now, out
         inner = []
         for call, arguments in inbox:
+            if self.pending and call in OF_A_REQ and req_of(arguments[0]) in self.pending:
+                continue  # its facts, read later than this came in, hold it already
             take = getattr(self, "_" + call, None)
             if take is None or take(inner, *arguments):
                 inner.append((call, arguments))
@@ -72,17 +77,30 @@
         self.front.listed(facts["version"], "first", [tuple(row) for row in facts["rows"]])
         if learnt:
             put(self.front, learnt, now)
+            # begun anew, a usual gap of 60 ms would call slow engines' streams stalled after each hand-over
+            self.streams.gap = learnt.get("stream_gap", self.streams.gap)
         if facts["stopping"]:
             self._stop(())
         for one in facts["reqs"]:
             self._adopt_one(one)
+        for id, conn in facts["later"]:
+            self.pending.add(id)
+            self.admission.taken(id, conn)  # they count for the bounds from the start
         self.front.same.clear()
 
+    def learnt(self, now):
+        """What another decider would otherwise have to learn anew, as plain data (decisions/learnt.py)."""
+        return {**export(self.front, now), "stream_gap": self.streams.gap}
+
     def _adopt_one(self, one):
         id, told = one["id"], one["told"]
         group, deadline = told[0], told[3]
         self.whole[id] = group, deadline
         self.admission.taken(id, one["conn"])
+        if one["swamped"]:
+            self._swamped_before.append(id)
+        if one["orphan"]:
+            self._orphans.append(id)
         self.talks.begun(self.now, id, *told)
         talk = self.talks.talks[id]
         talk.leg, talk.steps, talk.rewrites, talk.effects = one["leg"], one["steps"], one["rewrites"], one["effects"]
@@ -112,6 +130,12 @@
 
     def _end_adopted(self):
         """What had ended in a way that the decider before it had still to answer."""
+        swamped, self._swamped_before = self._swamped_before, []
+        for id in swamped:
+            self._swamped([], id)
+        orphans, self._orphans = self._orphans, []
+        for id in orphans:
+            self._orphaned(id)
         legs, self._ended_before = self._ended_before, []
         for leg in legs:
             if leg in self.streams.open:
@@ -120,6 +144,18 @@
                 self.front.now, self.front.out = self.now, _Reasons(self)
                 self.front.give_up(self.front.reqs[leg])
 
+    def _adopt(self, inner, id, one):
+        """A req of the decider before, in its turn; None: it has been answered since."""
+        self.pending.discard(id)
+        if one is None:
+            self.admission.ended_one(self.now, id)
+        else:
+            self.front.now, before, self.front.out = self.now, self.front.out, _Nothing()
+            self._adopt_one(one)
+            self.front.same.clear()
+            self.front.out = before
+        return False
+
     # ---- calls that concern more than the module: True hands the call on to it as it is ----
 
     def _arrived(self, inner, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags,
@@ -207,12 +243,17 @@
         if old.state == "queued" or old.repeatable:
             self.talks.answered(self.now, talk, call)
         else:
+            self._orphaned(id)
+        return False
+
+    def _orphaned(self, id):
+        talk = self.talks.talks.get(id)
+        if talk:
             leg = leg_id(id, talk.leg)
             stream = self.streams.open.pop(leg, None)
             self._give_up(leg, (False, "another tool asked for after one with effects", 0))
             if stream:
                 self.out.end_stream(leg, stream[3])
-        return False
 
     def _step(self, inner, id, n, engine, elapsed, load, held, calls, prompt, left):
         """To the module the leg is done; the conversation pauses."""
@@ -356,7 +397,7 @@
                 self.front.give_up(self.front.reqs[leg])
             else:
                 self._end_talk(talk, "stopping")
-        self.stop_by = None if not self.whole else self.stop_by
+        self.stop_by = self.stop_by if self.whole or self.pending else None
 
     def _set_wake(self):
         times = [time for time in (self.stop_by, self.stream_due, self.talks.soonest) if time is not None]
--- a/martenrouter/decisions/takeover.py
+++ b/martenrouter/decisions/takeover.py
@@ -9,6 +9,7 @@
 class Takeover:
     SILENT = 80_000        # microseconds: the aim is to take over under 100 ms; a round takes some hundred microseconds
     BEAT = 20_000          # an idle planner is asked this often: its death is seen a bound and a beat later at most
+    AT_ONCE = 100          # begun answers told a round to a new decider: some 4 ms of work, a twentieth of the bound
     FIRST_WAIT, LONGEST_WAIT = 250_000, 30_000_000
     FORGIVEN = 20_000_000  # in charge this long without a fault, earlier ones are forgotten
 
--- a/martenrouter/edge/desk.py
+++ b/martenrouter/edge/desk.py
@@ -22,9 +22,11 @@
 
 
 class Desk:
-    def __init__(self, make_chain, hands, facts, round_us, counters, log):
-        """`make_chain()` gives an empty decisions.chain.Chain; `facts()` all that one is rebuilt from."""
-        self.make_chain, self.hands, self.facts = make_chain, hands, facts
+    def __init__(self, make_chain, hands, facts, of_one, round_us, counters, log):
+        """`make_chain()` gives an empty decisions.chain.Chain; `facts()` all that one is rebuilt from, `of_one(id)` what
+        follows later of a req (edge/handover.py)."""
+        self.make_chain, self.hands, self.facts, self.of_one = make_chain, hands, facts, of_one
+        self.later = []          # reqs that the decider has still to be told of
         self.round, self.counters, self.log = round_us, counters, log
         self.chain = make_chain()
         self.takeover, self.link, self.waiting = Takeover(), None, None
@@ -73,6 +75,11 @@
         if self.flow:
             flow, self.flow = self.flow, {}
             inbox.append(("flowed", (flow,)))
+        if self.later:
+            # last in the round: what came in before is part of these facts, what comes in after is news to the decider
+            some, self.later = self.later[:self.takeover.AT_ONCE], self.later[self.takeover.AT_ONCE:]
+            inbox += [("adopt", (id, self.of_one(id))) for id in some]
+            self.wake(CHAIN, self.round)
         if self.takeover.in_charge:
             self._ask_planner(now, inbox)
         else:
@@ -126,9 +133,11 @@
         self.inbox = []  # all of it is in the facts
         epoch = self.takeover.handed_over(now)
         facts = self.facts()
+        self.later = [id for id, _ in facts["later"]]
         self.link, self.chain = link, None
         self.counters["handed_over"] += 1
-        self.log.info("handed_over", epoch=epoch, open=len(facts["reqs"]), planner=link.name)
+        self.log.info("handed_over", epoch=epoch, open=len(facts["reqs"]) + len(self.later),
+                      planner=link.name, took_us=clock.now() - now)
         if not link.send(Handover(epoch, now, facts, self.learnt)):
             return self._take_over(now, "left")
         self.post("look")
@@ -163,10 +172,14 @@
         epoch = self.takeover.taken_over(now)
         self.inbox = []
         facts = self.facts()
+        self.later = [id for id, _ in facts["later"]]
         self.chain = self.make_chain()
         self.chain.adopt(now, facts, self.learnt)
         self.counters["taken_over"] += 1
-        self.log.warning("taken_over", why=why, epoch=epoch, open=len(facts["reqs"]), took_us=clock.now() - now)
+        self.log.warning("taken_over", why=why, epoch=epoch, open=len(facts["reqs"]) + len(self.later),
+                         took_us=clock.now() - now)
         if link is not None:
             link.close()
         self._decide(clock.now(), [("look", ())])
+        if self.later:
+            self.wake(CHAIN, self.round)
--- a/martenrouter/edge/facts.py
+++ b/martenrouter/edge/facts.py
@@ -44,11 +44,12 @@
 
 
 class ToolCall:
-    __slots__ = ("identity", "rpc_id", "whole", "result", "failed", "conn", "step", "wanted", "sent_at")
+    __slots__ = ("identity", "rpc_id", "whole", "result", "failed", "conn", "step", "wanted", "sent_at", "dropped")
 
     def __init__(self, identity, rpc_id, whole, step):
         self.identity, self.rpc_id, self.whole, self.step = identity, rpc_id, whole, step
         self.result, self.failed, self.conn, self.wanted, self.sent_at = None, False, None, False, 0
+        self.dropped = False  # written anew, the step asks for something else in its place
 
 
 class Held:
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -20,8 +20,9 @@
 from martenrouter.edge.desk import CHAIN, Desk
 from martenrouter.edge.door import Door
 from martenrouter.edge.engines import Engines, Stopped
-from martenrouter.edge.handover import facts
+from martenrouter.edge.handover import facts, of_one
 from martenrouter.edge.facts import Forward, Held, KeptAnswer, Listener, Req, ToolCall
+from martenrouter.edge.loop import LoopWatch
 from martenrouter.edge.planner_door import PlannerDoor
 from martenrouter.edge.roster import Roster
 from martenrouter.settings import front as settings_of
@@ -49,7 +50,7 @@
         limits = settings.limits
         module, chain = settings_of.for_module(settings), settings_of.for_chain(settings)
         self.desk = Desk(lambda: Chain(settings.seed, module, chain), self, lambda: facts(self),
-                         settings_of.us(settings.round_ms), self.counters, log)
+                         lambda id: of_one(self, id), settings_of.us(settings.round_ms), self.counters, log)
         self.plan = PlannerDoor(settings.planner, self.desk, Welcome(VERSION, settings.name, settings.seed, module, chain),
                                 self.counters, log) if settings.planner else None
         self.engines = Engines(Connections(limits.idle_connections_an_engine), settings_of.us(limits.connect_within_ms),
@@ -60,7 +61,7 @@
             source, service=settings_of.address(source.service, "list.service") if source.service else None)
         self.roster = Roster(settings.name, source, settings.seed, self._list_came, self.engines.moved, self.counters,
                              self.record, log)
-        self.done, self.stopping = Event(), False
+        self.done, self.stopping, self.loop = Event(), False, LoopWatch()
 
     # ---- life ----
 
@@ -69,6 +70,7 @@
         self.door.start()
         self.roster.start()
         self.desk.start()
+        self.loop.start()
         if self.plan:
             self.plan.start()
         gevent.spawn(self._look_after)
@@ -129,7 +131,8 @@
                 "rounds": self.desk.rounds, "round_us": {"p50": cost.get_value_at_percentile(50),
                                                          "p99": cost.get_value_at_percentile(99),
                                                          "max": cost.get_max_value()},
-                "faults": self.desk.faults, "decides": self.desk.who(), "epoch": self.desk.takeover.epoch, "list": [self.roster.members.epoch, self.roster.members.version],
+                "loop_late_us": self.loop.status(), "faults": self.desk.faults, "decides": self.desk.who(),
+                "epoch": self.desk.takeover.epoch, "list": [self.roster.members.epoch, self.roster.members.version],
                 "engines": len(self.engines.addresses), "counters": dict(self.counters)}
 
     def _list_came(self, call, version, scope, rows):
@@ -347,6 +350,7 @@
             r.step_calls.remove(old)
         if old.result is None:
             old.result = "error: no longer asked for"
+        old.dropped = True
         self.desk.post("changed", r.id, old.identity)
 
     def read(self, forward, state, prompt_tokens):
--- a/martenrouter/planner/serve.py
+++ b/martenrouter/planner/serve.py
@@ -1,7 +1,7 @@
 """A planner: rounds in, decisions out, over the edge's Unix socket. Plain blocking code, nothing else runs in this process.
 
-It has no list of its own and decides by no clock of its own: the time of each round and all facts are the edge's. It can be killed at any moment; it
-connects again when the edge closes, which an edge does that found it silent.
+It has no list of its own and decides by no clock of its own: the time of each round and all facts are the edge's. It can
+be killed at any moment; it connects again when the edge closes, which an edge does that found it silent.
 """
 import os
 import random
@@ -12,7 +12,7 @@
 from martenrouter.decisions.background import Background
 from martenrouter.decisions.chain import Chain
 from martenrouter.decisions.learnt import VERSION as LEARNT
-from martenrouter.decisions.learnt import export, shifted
+from martenrouter.decisions.learnt import shifted
 from martenrouter.state.snapshots import Snapshots, Unusable
 from martenrouter.wire import channel
 
@@ -34,7 +34,8 @@
 class Planner:
     def __init__(self, path, log, name=None, slow=0.0, store=None):
         """`slow`: seconds that each round takes longer, for rehearsals; `store`: directory for snapshots, or None."""
-        self.store, self.snapshots, self.writer, self.background, self.work = store, None, None, None, None
+        self.store, self.snapshots, self.writer, self.background = store, None, None, None
+        self.writer_at, self.writer_told = 0, False
         self.path, self.log, self.name, self.slow = path, log, name or "planner-%d" % os.getpid(), slow
         self.random = random.Random(os.getpid())
 
@@ -74,7 +75,7 @@
                     chain.adopt(message.now, message.facts, learnt)
                     self.background = Background(message.now)
                     self.background.add(message.now, "snapshot", 1, SNAPSHOT_EACH)
-                    self.log.info("in_charge", epoch=epoch, open=len(message.facts["reqs"]),
+                    self.log.info("in_charge", epoch=epoch, open=len(message.facts["reqs"]) + len(message.facts["later"]),
                                   learnt="edge" if message.learnt else "snapshot" if learnt else "nothing")
                 elif isinstance(message, channel.Round) and message.epoch == epoch:
                     sock.sendall(self._decide(chain, message))
@@ -108,10 +109,17 @@
     def _between(self, chain, now):
         """A slice of background work, when its budget allows: the export here, the disk in a thread of its own."""
         name = self.background.pick(now) if self.snapshots is not None else None
-        if name is None or self.writer is not None and self.writer.is_alive():
+        if name is None:
             return
+        if self.writer is not None and self.writer.is_alive():
+            # the disk is slow, or another program holds the store: deciding goes on, nothing more is queued up
+            if not self.writer_told and now - self.writer_at > 2 * SNAPSHOT_EACH:
+                self.writer_told = True
+                self.log.warning("snapshot_waits", path=self.store, mend="see what else writes there, or how full the disk is")
+            return
+        self.writer_at, self.writer_told = now, False
         began = time.perf_counter_ns()
-        learnt = export(chain.front, now)
+        learnt = chain.learnt(now)
         self.writer = threading.Thread(target=self._save, args=(time.time_ns() // 1000, learnt), daemon=True)
         self.writer.start()
         self.background.ran(now, name, (time.perf_counter_ns() - began) // 1000, True)
@@ -127,6 +135,6 @@
         chain.turn(message.now, inbox, out)
         if self.slow:
             time.sleep(self.slow)
-        learnt = export(chain.front, message.now) if message.seq % LEARNT_EACH == 0 else None
+        learnt = chain.learnt(message.now) if message.seq % LEARNT_EACH == 0 else None
         return channel.encode(channel.Decisions(message.epoch, message.seq, list(out),
                                                 (time.perf_counter_ns() - began) // 1000, learnt))
--- a/martenrouter/state/snapshots.py
+++ b/martenrouter/state/snapshots.py
@@ -32,6 +32,7 @@
         try:
             os.makedirs(path, exist_ok=True)
             self._env = lmdb.open(path, map_size=MAP_SIZE, max_dbs=0, lock=True)
+            self._bad = []  # keys to be set aside with the next save
         except (lmdb.Error, OSError) as why:
             raise Unusable("%s: can't be opened: %s; remove it to begin anew" % (path, why)) from why
 
@@ -39,39 +40,47 @@
         self._env.close()
 
     def save(self, wall, learnt):
-        """None, or why it was not saved."""
+        """None, or why it was not saved. Waits while another program writes to the store: not to be called in a round."""
         data = msgspec.msgpack.encode(learnt)
         told = Snapshot(VERSION, self.front, wall, zlib.crc32(data), data)
         try:
             with self._env.begin(write=True) as txn:
+                for key in self._bad:
+                    value = txn.get(key)
+                    if value is not None:
+                        txn.put(key.replace(b"snap:", b"bad:"), bytes(value))
+                        txn.delete(key)
                 txn.put(b"snap:%020d" % wall, msgspec.msgpack.encode(told))
                 keys = [key for key, _ in txn.cursor().iternext(values=True) if key.startswith(b"snap:")]
                 for key in keys[:-KEPT]:
                     txn.delete(key)
+            self._bad = []
         except lmdb.Error as why:
             return str(why)
         return None
 
     def newest(self):
-        """(wall, learnt, words about what was set aside); (0, None, …) without a whole one."""
+        """(wall, learnt, words about what is set aside); (0, None, …) without a whole one. Only reads, so that a store
+        which another program holds locked doesn't keep a planner from deciding; what is set aside moves with the next save."""
         words = []
-        with self._env.begin(write=True) as txn:
+        with self._env.begin() as txn:
             found = [(bytes(key), bytes(value)) for key, value in txn.cursor() if key.startswith(b"snap:")]
-            for key, value in reversed(found):
-                why, told = None, None
-                try:
-                    told = msgspec.msgpack.decode(value, type=Snapshot)
-                    if told.version != VERSION:
-                        why = "of version %d, this program writes %d" % (told.version, VERSION)
-                    elif told.front != self.front:
-                        why = "of front %s" % told.front
-                    elif zlib.crc32(told.learnt) != told.crc:
-                        why = "torn: its checksum differs"
-                    else:
-                        return told.wall, msgspec.msgpack.decode(told.learnt), words
-                except msgspec.MsgspecError as problem:
-                    why = "no snapshot: %s" % problem
-                words.append("%s set aside: %s" % (key.decode(), why))
-                txn.put(key.replace(b"snap:", b"bad:"), value)
-                txn.delete(key)
+        for key, value in reversed(found):
+            if key in self._bad:
+                continue
+            why, told = None, None
+            try:
+                told = msgspec.msgpack.decode(value, type=Snapshot)
+                if told.version != VERSION:
+                    why = "of version %d, this program writes %d" % (told.version, VERSION)
+                elif told.front != self.front:
+                    why = "of front %s" % told.front
+                elif zlib.crc32(told.learnt) != told.crc:
+                    why = "torn: its checksum differs"
+                else:
+                    return told.wall, msgspec.msgpack.decode(told.learnt), words
+            except msgspec.MsgspecError as problem:
+                why = "no snapshot: %s" % problem
+            words.append("%s set aside: %s" % (key.decode(), why))
+            self._bad.append(key)
         return 0, None, words
--- a/tests/sockets/test_planner.py
+++ b/tests/sockets/test_planner.py
@@ -35,9 +35,9 @@
         self.addCleanup(rig.front.plan.stop)
         return rig
 
-    def planner(self, *arguments, program=("martenrouter",)):
+    def planner(self, *arguments, program=("martenrouter",), **more):
         popen = subprocess.Popen([sys.executable, "-m", *program, "planner", self.path, *arguments],
-                                 stderr=subprocess.DEVNULL)
+                                 **{"stderr": subprocess.DEVNULL, **more})
         self.planners.append(popen)
         self.addCleanup(popen.wait)
         self.addCleanup(popen.kill)
@@ -201,6 +201,41 @@
         wall, learnt, words = Snapshots(os.path.join(store, "front-x"), "front-x").newest()
         self.assertEqual(({engine[0] for engine in learnt["engines"]}, words), ({"r", "r2", "w0", "w1", "w2"}, []))
 
+    def test_a_store_that_another_program_holds_locked_keeps_no_planner_from_deciding(self):
+        store = os.path.join(self.dir.name, "store")
+        held = subprocess.Popen([sys.executable, "-c", "import lmdb, os, sys\nos.makedirs(sys.argv[1])\n"
+                                 "env = lmdb.open(sys.argv[1], map_size=1 << 28)\nwith env.begin(write=True):\n"
+                                 "    print('held', flush=True)\n    sys.stdin.read()", os.path.join(store, "front-x")],
+                                stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        self.addCleanup(lambda: (held.stdin.close(), held.stdout.close(), held.wait()))
+        self.assertEqual(held.stdout.readline(), b"held\n")
+        rig = self.rig(*self.fleet(), name="front-x")
+        self.planner("--store", store)
+        self.in_charge(rig)
+        gevent.sleep(5.2)  # the first snapshot falls due, and waits
+        client, ids = self.load(rig, 60)
+        self.assertEqual(set(self.ends(client, ids)), {"done"})
+        self.assertEqual((rig.front.desk.who(), rig.front.counters["taken_over"]), ("planner", 0))
+
+    def test_a_full_disk_is_said_and_deciding_goes_on(self):
+        import resource
+        store = os.path.join(self.dir.name, "store")
+        rig = self.rig(*self.fleet(), name="front-x")
+        # no file of this process grows past 8 KiB, as on a disk that is full
+        planner = self.planner("--store", store, "--log-form", "json", stderr=subprocess.PIPE,
+                               preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (8192, 8192)))
+        self.addCleanup(planner.stderr.close)
+        self.in_charge(rig)
+        client, ids = self.load(rig, 60)
+        self.ends(client, ids)
+        gevent.sleep(5.5)
+        client, ids = self.load(rig, 60)
+        self.assertEqual(set(self.ends(client, ids)), {"done"})
+        self.assertEqual((rig.front.desk.who(), rig.front.counters["taken_over"]), ("planner", 0))
+        planner.kill()
+        said = planner.stderr.read().decode()
+        self.assertTrue("snapshot_not_saved" in said or "snapshots_unusable" in said, said)
+
     def test_stopped_and_woken_its_old_decisions_do_not_act(self):
         rig = self.rig(*self.fleet(script=slowly))
         planner = self.planner()
--- a/tests/sockets/test_supervisor.py
+++ b/tests/sockets/test_supervisor.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from martenrouter.edge.client import Left
 from tests.sockets.rig import Engine, ending
 from tests.sockets.test_hard_cases import Stopping
 
@@ -76,6 +77,22 @@
             while any(self.alive(pid) for pid in children.values()):
                 gevent.sleep(0.05)
 
+    def test_both_killed_at_once_and_started_again(self):
+        engines = [Engine("r", "rd"), Engine("w", "wr", script=lambda e, sock, told, n: gevent.sleep(0.3) or e.answer(sock, told))]
+        popen, client = self.edge(engines)
+        self.status(client, "planner")
+        asked = client.begin("generate", {"prompt": "x", "deadline_ms": 4000})
+        gevent.sleep(0.15)
+        for pid in self.children(popen.pid).values():
+            os.kill(pid, signal.SIGKILL)
+        self.assertNotEqual(self.wait(popen, 5), 0)
+        with self.assertRaises(Left):  # what it held is the client's to repeat
+            client.wait(asked, 2)
+        popen, client = self.edge(engines)
+        self.assertEqual(ending(client.call("generate", {"prompt": "x", "deadline_ms": 4000}, within=5)), "done")
+        self.status(client, "planner")
+        self.assertEqual(client.call("status", {}, within=2)["result"]["open"], 0)
+
     def alive(self, pid):
         try:
             with open("/proc/%d/cmdline" % pid) as file:
--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -68,13 +68,14 @@
         return {"id": 3, "conn": 1, "told": ("chat", None, "s", 9_000_000, None, None, 100, 0, 64, 0), "leg": 0, "steps": 0,
                 "rewrites": 0, "effects": False, "prompt": 100, "left": 64, "flowed": 0, "paused": False, "holder": None,
                 "calls": [], "age": 1000, "stage": 0, "used": 0, "reader": None, "since": 0, "held": False, "out": [],
-                "broke": False, "effect": None, **more}
+                "broke": False, "effect": None, "swamped": False, "orphan": False, **more}
 
-    def adopt(self, kind="replayable", **more):
+    def adopt(self, kind="replayable", later=(), **more):
         told = settings_of.check({"groups": [{"name": "chat", "effect": kind}], "kinds": [
             {"name": "rd", "role": "read", "memory_tokens": 10**6}, {"name": "wr", "role": "write", "memory_tokens": 10**6}]}, "t")
         chain, out = Chain(1, settings_of.for_module(told), settings_of.for_chain(told)), Seen()
-        chain.adopt(2_000_000, {"version": 4, "stopping": False, "rows": ROWS, "reqs": [self.one(**more)]})
+        chain.adopt(2_000_000, {"version": 4, "stopping": False, "rows": ROWS, "later": list(later),
+                                "reqs": [] if later else [self.one(**more)]})
         chain.turn(2_001_000, [("look", ())], out)
         return chain, out
 
@@ -94,6 +95,42 @@
                 self.assertEqual([row[:2] for row in out if row[0] in ("forward", "abort", "push_back")], [(then, id)])
                 self.assertEqual(len(chain.admission.open), then == "forward")
 
+    STREAM = dict(stage=4, used=2, reader="r1", out=[(1, "w1", 500_000, True)])
+
+    def test_what_follows_later_is_adopted_in_its_turn(self):
+        news = ("outcome", (3, 1, "reset", "w1", 600_000, False, 0, None))
+        after = 3 + (1 << 32)
+        cases = (  # what comes in the round of the facts, the facts, what comes after; decisions, reqs open in the end
+            ("goes on", (), self.STREAM, (news,), [("forward", after)], 1),
+            ("news before its facts is part of them", (news,), dict(broke=True, used=2, reader="r1"), (), [("forward", after)], 1),
+            ("ended since", (("gone", (3,)),), None, (), [], 0),
+            ("ended after", (), self.STREAM, (("gone", (3,)),), [], 0),
+            ("done after", (), self.STREAM, (("outcome", (3, 1, "done", "w1", 600_000, True, 0, None)),), [], 0),
+            ("its client reads too slowly", (("swamped", (3,)),), dict(self.STREAM, swamped=True), (), [("push_back", 3)], 0))
+        for name, before, facts, then, decided, left in cases:
+            with self.subTest(name):
+                chain, out = self.adopt(later=[(3, 1)])
+                self.assertEqual((len(chain.admission.open), chain.pending), (1, {3}))
+                chain.turn(2_002_000, [*before, ("adopt", (3, facts and self.one(**facts)))], out)
+                chain.turn(2_003_000, list(then), out)
+                self.assertEqual([row[:2] for row in out if row[0] in ("forward", "abort", "push_back")], decided)
+                self.assertEqual((len(chain.admission.open), chain.pending), (left, set()))
+
+    def test_what_only_an_event_told_is_found_in_the_facts(self):
+        for kind, facts, then in (("replayable", dict(self.STREAM, swamped=True), "push_back"),
+                                  ("non-replayable", dict(self.STREAM, swamped=True), "abort"),
+                                  ("replayable", dict(self.STREAM, orphan=True), "abort")):
+            chain, out = self.adopt(kind, **facts)
+            self.assertEqual([row[0] for row in out if row[0] in ("abort", "push_back", "end_stream")], [then, "end_stream"])
+
+    def test_the_usual_gap_comes_along(self):
+        chain, out = self.adopt()
+        chain.streams.gap = 300_000
+        told = chain.learnt(2_000_000)
+        other, _ = self.adopt()
+        other.adopt(2_100_000, {"version": 4, "stopping": False, "rows": ROWS, "reqs": [], "later": []}, told)
+        self.assertEqual(other.streams.patience(), chain.streams.patience())
+
     def test_a_pause_keeps_its_clocks(self):
         pause = dict(paused=True, steps=1, used=2, holder="w1", reader="w1", held=True, since=200_000)
         chain, out = self.adopt(calls=[("0.0.x", "t", True, "out", 200_000), ("0.1.y", "t", False, "queued", 0)], **pause)
