--- a/bench/planner.py
+++ b/bench/planner.py
@@ -62,7 +62,7 @@
         rounds / spent, size / rounds))
 
 
-def compare(rate, seconds):
+def compare(rate, seconds, rates):
     for name, planner in (("one program", False), ("two programs", True)):
         fleet = Fleet(planner=planner)
         try:
@@ -79,16 +79,26 @@
                       ", planner %.2f" % ((fleet.cpu(fleet.planner) - before) * 1000 / run["asked"]) if planner else "",
                       status["decides"], status["counters"].get("taken_over", 0), status["round_us"]["p50"],
                       status["round_us"]["p99"]), flush=True)
+            print("%-12s the edge's loop was late by us: p99 %d, max %d" % (name, status["loop_late_us"]["p99"],
+                                                                        status["loop_late_us"]["max"]), flush=True)
+            for higher in rates:
+                run = fleet.load("front", higher, 8)
+                late = fleet.status()["loop_late_us"]
+                print("%-12s at %4.0f/s: done %d of %d; first token p50 %.2f p99 %.2f; busy %.2f of a core; loop late p99 %d max %d" % (
+                    name, higher, run["done"], run["asked"], at(run["first"], 50), at(run["first"], 99), run["busy"],
+                    late["p99"], late["max"]), flush=True)
+                if run["done"] < 0.99 * run["asked"] or at(run["first"], 99) > 1000:
+                    break
         finally:
             fleet.stop()
 
 
-def through_a_kill(rate=60):
-    """First tokens before, through and after a kill of the planner, in steps of a quarter of a second."""
-    for way in ("as_built", "waits_for_its_planner"):
-        fleet = Fleet(planner=True, command=[sys.executable, "-m", "bench.fronts", way])
+def through_a_stall(rate=60, stalled=1.5):
+    """First tokens by quarter second before, through and after a stall of the planner; when it decides again after it woke."""
+    for way, planner in (("as_built", True), ("as_built", False), ("waits_for_its_planner", True)):
+        fleet = Fleet(planner=planner, command=[sys.executable, "-m", "bench.fronts", way])
         try:
-            client, firsts, ends = Client(fleet.told["fronts"][0]), [], {}
+            client, firsts, ends, back = Client(fleet.told["fronts"][0]), [], {}, []
             gevent.sleep(1.5)
             start = clock.now()
 
@@ -102,20 +112,30 @@
                 answer = client.call("generate", {"prompt": "p %d" % i, "deadline_ms": 10_000}, tokens)
                 ending = "done" if "result" in answer else answer["error"]["data"]["ending"]
                 ends[ending] = ends.get(ending, 0) + 1
-            work = []
-            for i in range(rate * 5):
+
+            def stall():
+                gevent.sleep(2)
+                os.kill(fleet.planner.popen.pid, signal.SIGSTOP)  # nothing is closed, only silence tells
+                gevent.sleep(stalled)
+                os.kill(fleet.planner.popen.pid, signal.SIGCONT)
+                woke = clock.now()
+                while fleet.status()["decides"] != "planner" and clock.now() - woke < 10_000_000:
+                    gevent.sleep(0.005)
+                back.append(clock.now() - woke)
+            work = [gevent.spawn(stall)] if planner else []
+            for i in range(int(rate * (3.5 + stalled))):
                 due = start + i * 1_000_000 // rate
                 gevent.sleep(max((due - clock.now()) / 1e6, 0))
-                if i == rate * 2:
-                    os.kill(fleet.planner.popen.pid, signal.SIGSTOP)  # a stall: nothing is closed, only silence tells
                 work.append(gevent.spawn(ask, i, due))
             gevent.joinall(work, timeout=15)
             status = fleet.status()
-            os.kill(fleet.planner.popen.pid, signal.SIGCONT)
-            steps = ["%.0f/%.0f" % (statistics.median(part) / 1000, max(part) / 1000) for part in (
-                [time for at_, time in firsts if 1_500_000 + k * 250_000 <= at_ < 1_750_000 + k * 250_000] for k in range(8)) if part]
-            print("%-22s stalled at 2 s; first token median/max ms by quarter second from 1.5 s: %s; %s; taken over %d" % (
-                way, " ".join(steps), ends, status["counters"].get("taken_over", 0)), flush=True)
+            parts = [[time for at_, time in firsts if 1_500_000 + k * 250_000 <= at_ < 1_750_000 + k * 250_000]
+                     for k in range(int((1.5 + stalled) / 0.25))]
+            steps = ["%.0f/%.0f" % (statistics.median(part) / 1000, max(part) / 1000) for part in parts if part]
+            print("%-22s %s: first token median/max ms by quarter second from 1.5 s: %s; %s; taken over %d%s" % (
+                way if planner else "one program", "stalled from 2 to %.1f s" % (2 + stalled) if planner else "nothing stalls",
+                " ".join(steps), ends, status["counters"].get("taken_over", 0),
+                ", decides again %.0f ms after it woke" % (back[0] / 1000) if back else ""), flush=True)
         finally:
             fleet.stop()
 
@@ -123,11 +143,12 @@
 @click.command()
 @click.option("--seconds", default=12.0)
 @click.option("--rate", default=130.0)
-def main(seconds, rate):
+@click.option("--rates", default="200,260,320,380", help="Rates tried for the highest one held.")
+def main(seconds, rate, rates):
     handover()
     channel_cost()
-    through_a_kill()
-    compare(rate, seconds)
+    through_a_stall()
+    compare(rate, seconds, [float(text) for text in rates.split(",") if text])
 
 
 if __name__ == "__main__":
