Emulator: the real front's hands, desk, chain and module in virtual time, judged alike

Engines are the stand-ins' model with their protocol and faults, the list service's state is shared (standins/listing.py), clients draw from the same generator (standins/arrivals.py), now such that what comes when hangs on no answer. The socket judge reads the emulator's records as they are. Baselines replace one choice each.

--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -76,6 +76,18 @@
         self.counters["connection_opened"] += 1
         return connection
 
+    def start(self, forward, hear):
+        forward.greenlet = gevent.spawn(self.carry, forward, hear)
+
+    def stop(self, forward):
+        """Closes a forward that is out, of which the end has been said already, whatever its greenlet had got to."""
+        greenlet = forward.greenlet
+        if greenlet is not None and greenlet is not gevent.getcurrent():
+            greenlet.kill(Stopped, block=False)
+
+    def release(self, engine, forward_id, trace):
+        gevent.spawn(self.let_go, engine, forward_id, trace)
+
     def carry(self, forward, hear):
         """Runs in the forward's greenlet. `hear` takes first_token(forward), tokens(forward, texts) and
         ended(forward, ending, note)."""
--- /dev/null
+++ b/martenrouter/lab/emulator/runs.py
@@ -0,0 +1,94 @@
+"""One run of a day, from its scenario to its figures; and many runs over processes, each day in a process of its own."""
+import collections
+import concurrent.futures
+import multiprocessing
+import time
+
+import msgspec
+
+from martenrouter.lab.emulator.policies import POLICIES
+from martenrouter.lab.emulator.world import World
+from martenrouter.lab.verdict import judged as verdict_of
+from martenrouter.settings.load import BadSettings
+
+
+class Run(msgspec.Struct):
+    """What came of a run. `tries`: rows of emulator.world.Day; times in microseconds of the day."""
+    scenario: str
+    seed: int
+    policy: str
+    tries: list
+    loads: list
+    troubles: list
+    figures: dict
+    deciders: list = []
+    links: list = []
+    verdict: dict | None = None
+    first: object = None
+
+
+def figures(tries, targets):
+    """Figures of a run's tries. `targets`: endpoint group -> microseconds wanted to the first token.
+
+    `service`: of the reqs, a client's retries after a pushback being the same one, the part that was done with its first token as
+    soon as wanted, counted from its first try.
+    """
+    endings = collections.Counter(row[3] for row in tries)
+    firsts = sorted(row[1] - row[0] for row in tries if row[1] is not None)
+    reqs = sum(row[6] == 0 for row in tries)
+    good = sum(row[3] == "done" and row[1] is not None and row[1] - row[0] <= targets[row[4]] for row in tries)
+
+    def at(part):
+        return firsts[min(int(len(firsts) * part), len(firsts) - 1)] / 1000 if firsts else None
+    return {"reqs": reqs, "tries": len(tries), "endings": dict(sorted(endings.items())), "service": good / max(reqs, 1),
+            "first token ms": {"p50": at(0.5), "p90": at(0.9), "p99": at(0.99)}}
+
+
+def play(scenario, seed, policy="as-built", judged=True, tick=None):
+    """Raises BadSettings for a policy that isn't known."""
+    if policy not in POLICIES:
+        raise BadSettings("policy %s: there are %s" % (policy, ", ".join(POLICIES)))
+    began = time.perf_counter()
+    world = World(scenario, seed, judged, decide=POLICIES[policy])
+    day = world.play(tick)
+    targets = {group["name"]: group["target_ms"] * 1000 for group in world.groups}
+    told = figures(day.tries, targets)
+    told["cost"] = {"seconds": round(time.perf_counter() - began, 3), "events": world.queue.count, "rounds": world.rounds,
+                    "ms a req": round((time.perf_counter() - began) * 1000 / max(told["tries"], 1), 3),
+                    "part in rounds": round(world.spent_in_rounds / 1e9 / (time.perf_counter() - began), 3)}
+    verdict, first = verdict_of(world.records, scenario.expect) if judged else (None, None)
+    return Run(scenario.name, seed, policy, day.tries, day.loads, world.troubles, told, day.deciders, day.links, verdict, first)
+
+
+def many(jobs, workers, told):
+    """Plays (key, scenario, seed, policy, judged) over processes; `told(key, Run or None, why)` for each as it ends. A worker that
+    dies takes its own runs with it, which are tried once more in another; what it would have given is the same."""
+    waiting = list(jobs)
+    for last in (False, True):
+        lost = []
+        context = multiprocessing.get_context("spawn")  # a day's process lives in the day's time: none is forked from another
+        with concurrent.futures.ProcessPoolExecutor(workers, mp_context=context, max_tasks_per_child=8) as pool:
+            asked = {pool.submit(_one, *job[1:]): job for job in waiting}
+            for done in concurrent.futures.as_completed(asked):
+                job = asked[done]
+                try:
+                    run = done.result()
+                except concurrent.futures.process.BrokenProcessPool:
+                    lost.append(job)
+                    continue
+                except Exception as why:  # one run's fault is told and ends no other
+                    told(job[0], None, "%s: %s" % (type(why).__name__, why))
+                    continue
+                told(job[0], run, None)
+        if not lost:
+            return
+        waiting = lost
+        if last:
+            for job in lost:
+                told(job[0], None, "its worker died twice")
+
+
+def _one(scenario, seed, policy, judged):
+    run = play(scenario, seed, policy, judged)
+    run.first = None
+    return run
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -9,27 +9,14 @@
 import msgspec
 from gevent import socket
 
+from martenrouter.lab import fleet
 from martenrouter.lab.processes import Ports, Process
-from martenrouter.lab.scenario import engines_of
 from martenrouter.settings import front as settings_of
 from martenrouter.standins.clients import Clients
 from martenrouter.standins.clocks import watch_lag
-from martenrouter.standins.model import Spec
 from martenrouter.state.records import Recorder
 from martenrouter.wire import http, nodes
 
-ROLES = {"rd": "read", "wr": "write", "mix": "both"}
-# Small and slow engines, so that a few processes on one machine feel load: readers of some 6,000 tokens a second,
-# writers of a dozen answers at a token each 18 ms.
-SPECS = {"rd": {"slots": 6, "queue": 32, "memory_tokens": 60_000, "step_us": 5000, "read_us": 150, "usual_answer": 40},
-         "wr": {"slots": 14, "queue": 16, "memory_tokens": 30_000, "step_us": 15_000, "usual_answer": 40},
-         "mix": {"slots": 8, "queue": 16, "memory_tokens": 40_000, "step_us": 15_000, "usual_answer": 40}}
-WARM_UP = {"cold_share": 0.3, "warm_within_us": 5_000_000, "fall_multiple": 4.0, "fall_window_us": 3_000_000}
-GROUPS = [{"name": "chat", "effect": "replayable", "importance": 1},
-          {"name": "booking", "effect": "keyed", "repeat_scope": "cell", "repeat_window_ms": 4000, "importance": 2},
-          {"name": "order", "effect": "non-replayable", "importance": 3}]
-
-
 class Rehearsal:
     def __init__(self, scenario, seed, records, speed=1.0, say=lambda text: None, front_command=None):
         """`records`: an empty directory; `say` takes lines of progress; `front_command` replaces the front's program."""
@@ -78,44 +65,30 @@
 
     def _start(self):
         scenario = self.scenario
-        for id, kind, cell in engines_of(scenario):
-            told = {**SPECS[kind], **WARM_UP, **(scenario.reader if kind == "rd" else scenario.writer)}
-            spec = Spec(id=id, kind=kind, role=ROLES[kind], zone=scenario.cells[cell].zone, cell=cell,
-                        listen="127.0.0.1:%d" % self.ports.take(), seed=7, **told)
-            self.specs[id] = msgspec.structs.replace(spec, step_us=max(int(spec.step_us / self.speed), 200),
-                                                     read_us=spec.read_us / self.speed, write_us=spec.write_us / self.speed)
-            self._process(id, ["standin", "engine", "--records", self.dir, "--spec",
-                               msgspec.json.encode(self.specs[id]).decode()])
+        self.specs = fleet.specs(scenario, lambda: "127.0.0.1:%d" % self.ports.take(), self.speed)
+        for id, spec in self.specs.items():
+            self._process(id, ["standin", "engine", "--records", self.dir, "--spec", msgspec.json.encode(spec).decode()])
         list_port = self.ports.take()
         self.addresses["list"] = ("127.0.0.1", list_port)
         self._process("list", ["standin", "list", "--listen", "127.0.0.1:%d" % list_port, "--records", self.dir,
                                "--late-ms", str(scenario.list_late_ms)])
         for id, spec in self.specs.items():
             self.addresses[id] = settings_of.address(spec.listen, id)
-        groups = scenario.settings.get("groups", GROUPS)
-        self.groups = [msgspec.to_builtins(group) for group in msgspec.convert(groups, list[settings_of.Group])]
+        self.groups = fleet.groups(scenario)
         for i in range(scenario.fronts):
             name, port = "front-%d" % i, self.ports.take()
             self.addresses[name] = ("127.0.0.1", port)
-            settings = {"name": name, "listen": "127.0.0.1:%d" % port, "seed": self.seed * 100 + i,
-                        "fronts": scenario.fronts, "records": self.dir, "groups": self.groups,
-                        "list": {"service": "127.0.0.1:%d" % list_port, "keep": os.path.join(self.logs, name + ".list")},
-                        "kinds": [{"name": kind, "role": role, "memory_tokens": SPECS[kind]["memory_tokens"]}
-                                  for kind, role in ROLES.items()],
-                        "cold": self._cold(),
-                        "log": {"form": "json", "level": "info"},
-                        **({"planner": os.path.join(self.logs, name + ".sock")} if scenario.planners else {}),
-                        **{key: value for key, value in scenario.settings.items() if key != "groups"}}
+            settings = fleet.front_settings(
+                scenario, self.seed, i, "127.0.0.1:%d" % port, self.specs, records=self.dir,
+                list={"service": "127.0.0.1:%d" % list_port, "keep": os.path.join(self.logs, name + ".list")},
+                **({"planner": os.path.join(self.logs, name + ".sock")} if scenario.planners else {}))
             settings_of.check(settings, scenario.name)
             path = os.path.join(self.logs, name + ".jsonnet")
             with open(path, "wb") as file:
                 file.write(msgspec.json.encode(settings))
             self._process(name, ["edge", path], self.front_command)
         limits = settings_of.check(settings, scenario.name).limits
-        self.record("scenario", name=scenario.name, seed=self.seed, groups=self.groups,
-                    release_within=settings_of.us(limits.release_within_ms), fronts=scenario.fronts,
-                    engines={id: {"cell": spec.cell, "zone": spec.zone, "role": spec.role, "seed": spec.seed,
-                                  "usual": spec.usual_answer} for id, spec in self.specs.items()})
+        self.record("scenario", **fleet.told_to_judge(scenario, self.seed, self.specs, settings_of.us(limits.release_within_ms)))
         for name in ["list", *self.specs]:
             self.processes[name].wait_for(self.addresses[name])
         self._list(*[self._entry(id, "up") for id in self.specs])
@@ -126,13 +99,6 @@
                     ["--store", os.path.join(self.logs, "store")] if scenario.store else [])])
         gevent.sleep(scenario.list_late_ms / 1000 + 0.3)
 
-    def _cold(self):
-        """What the fronts are told of cold engines: the weakest of the fleet, as an operator would write it."""
-        specs = list(self.specs.values())
-        return {"share": min(spec.cold_share for spec in specs), "multiple": min(spec.fall_multiple for spec in specs),
-                "warm_within_ms": max(spec.warm_within_us for spec in specs) / 1000,
-                "window_ms": min(spec.fall_window_us for spec in specs) / 1000}
-
     def _process(self, name, arguments, command=None):
         process = Process(name, arguments, os.path.join(self.logs, name + ".log"), command)
         self.processes[name] = process
@@ -171,17 +137,8 @@
         except OSError as why:
             self.record("control_failed", target=id, why=str(why))
 
-    def _targets(self, fault):
-        ids = sorted(self.specs)
-        if fault.target in ROLES:
-            return [self.random.choice([id for id in ids if id.startswith(fault.target)])]
-        if fault.target.startswith("cell-"):
-            cell = int(fault.target[5:])
-            return [id for id in ids if self.specs[id].cell == cell]
-        return [fault.target]
-
     def _fault(self, fault, clients):
-        targets = self._targets(fault)  # drawn at once, in the scenario's order: the same for a seed
+        targets = fleet.targets(fault, sorted(self.specs), {id: spec.cell for id, spec in self.specs.items()}, self.random)
         gevent.sleep(self._s(fault.at))
         self.record("fault", kind=fault.kind, targets=targets, length=self._s(fault.length), value=fault.value)
         self.say("%5.1f s  %s %s" % (fault.at, fault.kind, " ".join(targets)))
@@ -227,9 +184,9 @@
             self._restart(id)
 
     def _burst(self, fault, _, clients):
-        clients.burst = fault.value
+        clients.arrivals.burst = fault.value
         gevent.sleep(self._s(fault.length))
-        clients.burst = 1.0
+        clients.arrivals.burst = 1.0
 
     def _list_late(self, fault, *_):
         self._list_op({"op": "late", "us": int(fault.value * 1000)})
--- a/martenrouter/lab/verdict.py
+++ b/martenrouter/lab/verdict.py
@@ -5,7 +5,12 @@
 
 def verdict(directory, expect=None, codes=None):
     """Judges a directory of records. `expect`: scenario.Expect; `codes`: the fronts' exit codes."""
-    judge = Judge(records.read(directory)).judge()
+    return judged(records.read(directory), expect, codes)
+
+
+def judged(told, expect=None, codes=None):
+    """The same of records in memory."""
+    judge = Judge(told).judge()
     figures, first = judge.figures()
     rules = {rule: {"kept": True, "breaks": []} for rule in RULES}
     for rule, req, t, message in judge.breaks:
--- a/martenrouter/standins/clients.py
+++ b/martenrouter/standins/clients.py
@@ -1,44 +1,32 @@
 """Scripted clients: open-loop arrivals that don't wait for answers, sessions with growing prompts, retries as told, and
 a record of every message. What they do follows from the seed; when answers come does not.
 """
-import random
-
 import gevent
 from gevent import GreenletExit
 
 from martenrouter.edge.client import Client, Left
+from martenrouter.standins.arrivals import Arrivals, tool_run, trace_of
+from martenrouter.standins.arrivals import params as params_of
 from martenrouter.wire import jsonrpc
 
-WORDS = ("radiator meter valve boiler reading bill flow return pump hall pipe heat pressure window night cold warm room "
-         "building floor manager autumn winter morning report number please check why slow when today").split()
-
-
-class Session:
-    def __init__(self, id, opening):
-        self.id, self.messages = id, [{"role": "system", "content": opening}]
-
 
 class Clients:
     def __init__(self, fronts, traffic, groups, rnd, record, connections=2):
         """`fronts`: name -> (host, port); `groups`: dicts with name and effect; `rnd`: a seeded generator; `record`
         takes every message."""
-        self.fronts, self.traffic, self.groups, self.random, self.record = fronts, traffic, groups, rnd, record
+        self.fronts, self.traffic, self.groups, self.record = fronts, traffic, groups, record
         self.connections, self.links, self.count = connections, {}, 0
-        self.openings = [self._words(traffic.opening_words) for _ in range(traffic.openings)]
-        self.idle, self.sessions, self.open, self.conns = [], 0, set(), 0
-        self.burst = 1.0
+        self.arrivals = Arrivals(fronts, traffic, rnd)
+        self.open, self.conns = set(), 0
         self.left, self.ran = set(), {}
 
-    def _words(self, count):
-        return " ".join(self.random.choice(WORDS) for _ in range(max(int(count * self.random.uniform(0.5, 1.5)), 1)))
-
     def run(self, seconds):
         """Arrivals for `seconds`; returns when the last one is off. `drain` waits for what is open."""
         until = gevent.get_hub().loop.now() + seconds
         gevent.get_hub().loop.update_now()
         due = until - seconds
         while True:
-            due += self.random.expovariate(self.traffic.rate * self.burst)
+            due += self.arrivals.gap()
             if due >= until:
                 return
             gevent.get_hub().loop.update_now()
@@ -57,19 +45,7 @@
         return left
 
     def _arrive(self):
-        rnd, traffic = self.random, self.traffic
-        group = rnd.choices(range(len(traffic.shares)), traffic.shares)[0]
-        if self.idle and rnd.random() < traffic.go_on:
-            session = self.idle.pop(rnd.randrange(len(self.idle)))
-        else:
-            self.sessions += 1
-            session = Session("s%d" % self.sessions, rnd.choice(self.openings))
-        text, trace = self._words(traffic.turn_words), "%032x" % rnd.getrandbits(128)
-        early, how, after = rnd.random() < traffic.early, rnd.random(), rnd.uniform(0.02, 1.0)
-        leave = ("cancel" if how < traffic.cancel else "close" if how < traffic.cancel + traffic.leave else
-                 "rejoin" if how < traffic.cancel + traffic.leave + traffic.rejoin else None)
-        front = rnd.choice(sorted(self.fronts))
-        greenlet = gevent.spawn(self._ask, session, self.groups[group], text, trace, early, leave, after, front)
+        greenlet = gevent.spawn(self._ask, self.arrivals.arrival())
         self.open.add(greenlet)
         greenlet.link(self.open.discard)
 
@@ -120,51 +96,40 @@
         meta = params["_meta"]
         trace, key = client.traces.get(meta["generate"]), (client.traces.get(meta["generate"]), meta["call"])
         if key not in self.ran:
-            chance = random.Random("%s %s" % (key[0], params["arguments"]))
-            text = "%s reads %d" % (params["arguments"].get("meter"), chance.randrange(10_000))
+            text, silent, takes = tool_run(key[0], params["arguments"], self.traffic)
             self.ran[key] = text
             self.record("tool_ran", trace=trace, call=meta["call"], name=params["name"], arguments=params["arguments"],
                         text=text, repeatable=not params["name"].startswith("set"))
-            if chance.random() < self.traffic.tool_silent:
-                gevent.sleep(3600)
-            gevent.sleep(chance.uniform(0, 3) * self.traffic.tool_ms / 1000)
+            gevent.sleep(3600 if silent else takes)
         self.record("call_answered", trace=trace, call=meta["call"])
         return {"content": [{"type": "text", "text": self.ran[key]}]}
 
-    def _ask(self, session, group, text, trace, early, leave, after, front):
-        session.messages.append({"role": "user", "content": text})
-        deadline = self.traffic.deadline_ms / (10 if early else 1)
-        names = sorted(self.fronts)
+    def _ask(self, arrival):
+        session, group, leave, front = arrival.session, self.groups[arrival.group], arrival.leave, arrival.front
+        session.messages.append({"role": "user", "content": arrival.text})
+        deadline = self.traffic.deadline_ms / (10 if arrival.early else 1)
         for attempt in range(self.traffic.retries + 1):
-            this = "%s%02x" % (trace[:30], attempt)
-            answer, texts = self._try(session, group, this, trace, deadline, leave, after, front)
+            answer, texts = self._try(arrival, group, trace_of(arrival, attempt), deadline, front)
             if answer is None or "error" not in answer:
                 break
             wait = (answer["error"].get("data") or {}).get("return_after_ms") or 200
             if answer["error"]["code"] != jsonrpc.PUSHED_BACK or leave:
                 break
             gevent.sleep(min(wait, 3000) / 1000)
-            front = names[(names.index(front) + 1) % len(names)]
+            front = self.arrivals.next_front(front)
         if answer is not None and "result" in answer:
-            session.messages.append({"role": "assistant", "content": "".join(texts)})
-            if len(session.messages) < 9:
-                self.idle.append(session)
+            self.arrivals.answered(session, "".join(texts))
 
-    def _try(self, session, group, trace, key, deadline, leave, after, front):
+    def _try(self, arrival, group, trace, deadline, front):
         """(answer or None, texts): one call of generate, recorded."""
-        texts = []
+        texts, leave, after = [], arrival.leave, arrival.after
         try:
             client = self._link(front, leave in ("close", "rejoin"))
         except OSError as why:
             self.record("no_front", front=front, trace=trace, why=str(why))
             gevent.sleep(0.3)
             return {"error": {"code": jsonrpc.PUSHED_BACK}}, texts
-        params = {"messages": list(session.messages), "group": group["name"], "session": session.id,
-                  "max_tokens": self.traffic.max_tokens, "deadline_ms": deadline, "trace": "00-%s-%s-01" % (trace, trace[:16])}
-        if group["effect"] == "keyed" or leave == "rejoin":
-            params["key"] = key
-        if self.traffic.tools:
-            params["tools"] = [{"name": name, "repeatable": not name.startswith("set")} for name in self.traffic.tools]
+        params = params_of(arrival, group, trace, self.traffic, deadline)
         client.last += 1
         id = client.last
         client.traces[id] = trace
--- a/martenrouter/standins/list_service.py
+++ b/martenrouter/standins/list_service.py
@@ -10,6 +10,7 @@
 from gevent.server import StreamServer
 
 from martenrouter.standins.clocks import now, wall
+from martenrouter.standins.listing import Listing
 from martenrouter.state import records
 from martenrouter.wire import nodes
 
@@ -28,10 +29,7 @@
     def __init__(self, listen, late=0, records_dir=None, epoch=None):
         """`listen`: (host, port); `late`: microseconds between a change and its push."""
         self.record = records.recorder(records_dir, "list")
-        self.late, self.silent = late, False
-        self.epoch = epoch or wall() // 1_000_000
-        self.version, self.entries = 0, {}
-        self.log = []            # (version, time told, changed entries)
+        self.listing = Listing(epoch or wall() // 1_000_000, late)
         self.changed = Event()
         self.server = StreamServer(listen, self._accepted)
 
@@ -40,27 +38,13 @@
         return self.server.address
 
     def set(self, entries):
-        self.version += 1
-        for entry in entries:
-            self.entries[entry.id] = entry
-        self.log.append((self.version, now() + self.late, list(entries)))
+        self.listing.set(now(), entries)
         self._wake()
 
     def _wake(self):
         changed, self.changed = self.changed, Event()
         changed.set()
 
-    def _visible(self):
-        """The newest version that may be told by now."""
-        return max((version for version, at, _ in self.log if at <= now()), default=0)
-
-    def _whole(self, upto):
-        entries = {}
-        for version, _, changed in self.log:
-            if version <= upto:
-                entries.update((entry.id, entry) for entry in changed)
-        return list(entries.values())
-
     def _accepted(self, sock, _):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -82,27 +66,20 @@
             sock.close()
 
     def _push(self, sock, ask):
-        at = ask.version if ask.epoch == self.epoch else -1
+        at = ask.version if ask.epoch == self.listing.epoch else -1
         while True:
-            if self.silent:
+            if self.listing.silent:
                 gevent.sleep(0.02)
                 continue
-            changed, upto = self.changed, self._visible()
-            if at < 0 or at > upto:
-                at = upto
-                self._send(sock, ask.front, nodes.Told("whole", self.epoch, upto, 0, self._whole(upto)))
-            elif upto > at:
-                news = {}
-                for version, _, entries in self.log:
-                    if at < version <= upto:
-                        news.update((entry.id, entry) for entry in entries)
-                self._send(sock, ask.front, nodes.Told("changes", self.epoch, upto, at, list(news.values())))
-                at = upto
-            else:
-                waits = [due - now() for version, due, _ in self.log if version > upto]
-                if not changed.wait(min([SAME_EACH] + [max(wait, 1000) / 1e6 for wait in waits])) and not waits:
-                    if not self.silent:
-                        sock.sendall(nodes.encode(nodes.Told("same", self.epoch, at)))
+            changed = self.changed
+            told, at = self.listing.news(now(), at)
+            if told is not None:
+                self._send(sock, ask.front, told)
+                continue
+            due = self.listing.next_due(now())
+            if not changed.wait(SAME_EACH if due is None else min(max(due - now(), 1000) / 1e6, SAME_EACH)) and due is None:
+                if not self.listing.silent:
+                    sock.sendall(nodes.encode(nodes.Told("same", self.listing.epoch, at)))
 
     def _send(self, sock, front, told):
         self.record("list_out", front=front, epoch=told.epoch, version=told.version, scope=told.scope,
@@ -114,14 +91,12 @@
         if op.op == "set":
             self.set(op.entries)
         elif op.op == "late":
-            self.late = op.us
+            self.listing.late = op.us
         elif op.op == "silent":
-            self.silent = op.on
+            self.listing.silent = op.on
         elif op.op == "back":
-            self.log = self.log[:-op.count] or self.log[:1]
-            self.version = self.log[-1][0]
+            self.listing.back(op.count)
             self._wake()
         elif op.op == "epoch":
-            entries = self._whole(self.version)
-            self.epoch, self.version, self.log = self.epoch + 1, 1, [(1, now(), entries)]
+            self.listing.new_epoch(now())
             self._wake()
--- a/martenrouter/standins/model.py
+++ b/martenrouter/standins/model.py
@@ -202,6 +202,10 @@
         times = [time for time in (self.step_end, *(link.next_at() for link in self.links.values())) if time is not None]
         return min(times, default=None)
 
+    def wants_states(self):
+        """Whether writes have taken their places and `advance` would tell whose states to fetch."""
+        return bool(self._to_fetch)
+
     def advance_clock(self, now):
         self.now = max(self.now, now)
 
--- a/tests/sockets/test_roster.py
+++ b/tests/sockets/test_roster.py
@@ -69,8 +69,8 @@
         service.set([entry("a", "draining")])
         roster, _ = self.roster(service.server.address)
         self.until(lambda: self.phases(roster) == {"a": "draining"})
-        service.log.pop()
-        service.version = 1
+        service.listing.log.pop()
+        service.listing.version = 1
         service._wake()
         gevent.sleep(1.3)
         self.assertEqual(self.phases(roster), {"a": "draining"})
