--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -341,7 +341,9 @@
         if how == "anew":
             self.next_legs.append(("arrived", self._told(talk, leg)))
         else:
-            self.next_legs.append(("resumed", (*self._told(talk, leg), holder, how == "here")))
+            # the pause counts to the state's release: begun anew, the limit would be passed by up to its length
+            waited = max(self.now - talk.hold_until + self.talks.hold_for, 0)
+            self.next_legs.append(("resumed", (*self._told(talk, leg), holder, how == "here", waited)))
 
     def _end_talk(self, talk, reason):
         """A paused conversation is given up: what is held is let go, then its final answer."""
--- a/martenrouter/edge/hands.py
+++ b/martenrouter/edge/hands.py
@@ -303,8 +303,10 @@
                 "done", "step", "full", "unreachable")):
             # its step may have ended there, with a state kept that was never heard of
             self._release(forward.engine, forward.id, r)
-        r.since = clock.now()
-        elapsed = r.since - forward.sent
+        now = clock.now()
+        elapsed = now - forward.sent
+        if ending != "unreachable":
+            r.since = now  # one that never left changes nothing for what is held
         if forward.role != "read" and r.effect is None and ending not in NEVER_RAN and forward.leg == r.leg_id:
             r.effect = forward.n, forward.engine, forward.sent
         if forward.usage is not None:
--- a/martenrouter/lab/emulator/engines.py
+++ b/martenrouter/lab/emulator/engines.py
@@ -217,7 +217,7 @@
         self.alive = False
         for call in [*self.calls.values(), *self.unread]:
             self.queue.at(self.queue.now + HOP, call.port.end, call, "reset", 0)
-        for writer, call in self.moves.values():
+        for writer, call, _ in self.moves.values():
             self.queue.at(self.queue.now + HOP, writer.fetched, call, None)
         self.calls.clear()
         self.moves.clear()
--- a/martenrouter/lab/emulator/world.py
+++ b/martenrouter/lab/emulator/world.py
@@ -5,6 +5,8 @@
 """
 import random
 
+import msgspec
+
 from martenrouter.decisions.chain import Chain
 from martenrouter.edge import clock
 from martenrouter.lab import fleet
@@ -38,14 +40,13 @@
         `decide(seed, module settings, chain settings)` makes the decisions of a front."""
         self.scenario, self.seed, self.decide = scenario, seed, decide
         self.queue = queue or Wheel()
-        self.queue.now = BEGIN
+        self.queue.now, self.jumped = BEGIN, 0
         clock.follow(lambda: self.queue.now, self.wall)
-        self.records, self.judged = [], judged
+        self.records, self.judged, self.jumped = [], judged, 0
         self.day, self.rounds, self.spent_in_rounds, self.troubles = Day(), 0, 0, []
         self.random = random.Random("%s %s faults" % (scenario.name, seed))
         numbers = iter(range(1, 1_000_000))
         self.specs = fleet.specs(scenario, lambda: "10.0.0.0:%d" % next(numbers))
-        self.cells = {id: spec.cell for id, spec in self.specs.items()}
         self.groups = fleet.groups(scenario)
         self.engines, self.fronts, self.told = {}, {}, {}
         self.listing, self.subscribers, self.entries = Listing(1, int(scenario.list_late_ms * 1000)), [], {}
@@ -62,7 +63,7 @@
         self.people = People(self, scenario.traffic, self.groups, random.Random("%s %s traffic" % (scenario.name, seed)))
 
     def wall(self):
-        return WALL + self.queue.now
+        return WALL + self.jumped + self.queue.now
 
     def record(self, who, ev, **fields):
         if self.judged:
@@ -78,7 +79,7 @@
         self.start = queue.now
         self.people.start(seconds)
         for fault in self.scenario.faults:
-            hit = fleet.targets(fault, sorted(self.specs), self.cells, self.random)
+            hit = fleet.targets(fault, self.specs, self.random)
             queue.at(self.start + int(fault.at * 1e6), self._fault, fault, hit)
         last = self.start + int((seconds + self.scenario.traffic.deadline_ms / 1000 + 8) * 1e6)
         while queue.now < last and (queue.now < self.start + int(seconds * 1e6) or self.people.open):
@@ -220,8 +221,6 @@
         engine.reset_after = engine.stall_after = None
         engine.model.hung, engine.model.slow, engine.model.draining = False, 1.0, False
         engine.model.slow_links(self.queue.now, 1.0)
-        for call in list(engine.calls.values()):
-            call.stalled = False
         engine.poke()
 
     def _kill(self, id, again):
@@ -256,6 +255,56 @@
         self.people.arrivals.burst = fault.value
         self._after(fault.length, setattr, self.people.arrivals, "burst", 1.0)
 
+    def _traffic(self, fault, name):
+        setattr(self.people.arrivals, name, fault.value)
+        self._after(fault.length, setattr, self.people.arrivals, name, 0.0)
+
+    def _hot_prefix(self, fault, hit):
+        self._traffic(fault, "hot")
+
+    def _heavy_tail(self, fault, hit):
+        self._traffic(fault, "tail")
+
+    def _impatient(self, fault, hit):
+        self._traffic(fault, "impatient")
+
+    def _greedy(self, fault, hit):
+        self._traffic(fault, "greedy")
+
+    def _late_reports(self, fault, hit):
+        """Reports of load that are so many seconds old."""
+        for id in hit:
+            model = self.engines[id].model
+            model.spec = msgspec.structs.replace(model.spec, report_lag_us=int(fault.value * 1e6))
+            self._after(fault.length, setattr, model, "spec", self.engines[id].spec)
+
+    def _clock_jump(self, fault, hit):
+        """The wall clocks of all machines step by so many seconds, and stay there."""
+        self.jumped += int(fault.value * 1e6)
+
+    def _list_flap(self, fault, hit, phase="draining", left=None):
+        left = int(fault.length / 0.5) * 2 if left is None else left
+        self._list([self._entry(id, phase if left else "up", self.engines[id].spec.start) for id in hit])
+        if left:
+            self._after(0.25, self._list_flap, fault, hit, "up" if phase == "draining" else "draining", left - 1)
+
+    def _front_roll(self, fault, hit, left=None):
+        """Each front is stopped in order and started again, one after the other."""
+        left = sorted(self.fronts) if left is None else left
+        if left:
+            self.record("driver", "front_stop", front=left[0])
+            self.fronts[left[0]].stop()
+            self._rolled(fault, left, self.queue.now + 10_000_000)
+
+    def _rolled(self, fault, left, until):
+        front = self.fronts[left[0]]
+        if front.hands.reqs and self.queue.now < until:
+            return self._after(0.01, self._rolled, fault, left, until)
+        self.record("driver", "front_stopped", front=left[0], code=0)
+        front.die()
+        self._start_front(left[0], front.roster.kept)
+        self._after(fault.again, self._front_roll, fault, [], left[1:])
+
     def _list_late(self, fault, hit):
         self.listing.late = int(fault.value * 1000)
         self._after(fault.length, setattr, self.listing, "late", int(self.scenario.list_late_ms * 1000))
--- a/martenrouter/lab/fleet.py
+++ b/martenrouter/lab/fleet.py
@@ -58,11 +58,14 @@
                              "usual": spec.usual_answer} for id, spec in made.items()}}
 
 
-def targets(fault, ids, cells, rnd):
-    """Engines (or the front) that a fault hits; `cells`: engine -> cell. Drawn in the scenario's order: the same for a seed."""
+def targets(fault, made, rnd):
+    """Engines (or the front) that a fault hits; `made`: the engines' specs. Drawn in the scenario's order: the same for a seed."""
+    ids = sorted(made)
     if fault.target in ROLES:
         return [rnd.choice([id for id in ids if id.startswith(fault.target)])]
+    if fault.target == "all" or fault.target.startswith("all-"):
+        return [id for id in ids if fault.target in ("all", "all-" + made[id].kind)]
     if fault.target.startswith("cell-"):
-        cell = int(fault.target[5:])
-        return [id for id in ids if cells[id] == cell]
-    return [fault.target]
+        return [id for id in ids if made[id].cell == int(fault.target[5:])]
+    of_zone = [id for id in ids if made[id].zone == fault.target]
+    return of_zone or [fault.target]
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -11,7 +11,9 @@
 
 from martenrouter.lab import fleet
 from martenrouter.lab.processes import Ports, Process
+from martenrouter.lab.scenario import EMULATED
 from martenrouter.settings import front as settings_of
+from martenrouter.settings.load import BadSettings
 from martenrouter.standins.clients import Clients
 from martenrouter.standins.clocks import watch_lag
 from martenrouter.state.records import Recorder
@@ -29,7 +31,11 @@
         self.work = []
 
     def play(self):
-        """Runs the day; returns {front: exit code}. Everything started is stopped, whatever happens."""
+        """Runs the day; returns {front: exit code}. Everything started is stopped, whatever happens. Raises BadSettings for a day
+        that only the emulator can play."""
+        for i, fault in enumerate(self.scenario.faults):
+            if fault.kind in EMULATED:
+                raise BadSettings("%s: at faults[%d]: %s is played by the emulator only" % (self.scenario.name, i, fault.kind))
         try:
             self.work.append(gevent.spawn(watch_lag, gevent.sleep, self.record))
             self._start()
@@ -138,7 +144,7 @@
             self.record("control_failed", target=id, why=str(why))
 
     def _fault(self, fault, clients):
-        targets = fleet.targets(fault, sorted(self.specs), {id: spec.cell for id, spec in self.specs.items()}, self.random)
+        targets = fleet.targets(fault, self.specs, self.random)
         gevent.sleep(self._s(fault.at))
         self.record("fault", kind=fault.kind, targets=targets, length=self._s(fault.length), value=fault.value)
         self.say("%5.1f s  %s %s" % (fault.at, fault.kind, " ".join(targets)))
@@ -188,6 +194,38 @@
         gevent.sleep(self._s(fault.length))
         clients.arrivals.burst = 1.0
 
+    def _traffic(self, fault, clients, name):
+        setattr(clients.arrivals, name, fault.value)
+        gevent.sleep(self._s(fault.length))
+        setattr(clients.arrivals, name, 0.0)
+
+    def _hot_prefix(self, fault, _, clients):
+        self._traffic(fault, clients, "hot")
+
+    def _heavy_tail(self, fault, _, clients):
+        self._traffic(fault, clients, "tail")
+
+    def _impatient(self, fault, _, clients):
+        self._traffic(fault, clients, "impatient")
+
+    def _greedy(self, fault, _, clients):
+        self._traffic(fault, clients, "greedy")
+
+    def _list_flap(self, fault, targets, _):
+        until = time.monotonic() + self._s(fault.length)
+        while time.monotonic() < until:
+            for phase in ("draining", "up"):
+                self._list(*[self._entry(id, phase, self.specs[id].start) for id in targets])
+                gevent.sleep(0.25)
+
+    def _front_roll(self, fault, *_):
+        for name in [name for name in self.processes if name.startswith("front")]:
+            self.record("front_stop", front=name)
+            self.record("front_stopped", front=name, code=self.processes[name].stop(12))
+            self.processes[name].start()
+            self.record("front_started", front=name)
+            gevent.sleep(self._s(fault.again))
+
     def _list_late(self, fault, *_):
         self._list_op({"op": "late", "us": int(fault.value * 1000)})
         gevent.sleep(self._s(fault.length))
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -196,17 +196,17 @@
         seen[1].add(self.now, 1)
 
     def resumed(self, id, *told):
-        """A req whose state waits at an engine already, an answer that paused for a tool: `here` goes on there."""
-        self.arrived(id, *told[:-2])
-        r, engine, here = self.reqs[id], self.engines[told[-2]], told[-1]
-        r.stage, r.reader, r.clock, r.held = READ, engine, self.now, True
+        """An answer that paused for a tool; its state has waited at an engine; `here` goes on there."""
+        self.arrived(id, *told[:-3])
+        r, engine, here, waited = self.reqs[id], self.engines[told[-3]], *told[-2:]
+        r.stage, r.reader, r.clock, r.held = READ, engine, self.now - waited, True
         if here:
             way = engine.cell, "port"
             self.send(r, engine, False, self.links.setdefault(way, Engine(way)))
 
     def adopted(self, id, told, age, stage, used, reader, since, held, effect, out):
-        """A req taken over in mid-life: `told` as in `arrived`, `age` ago; `since`: time from its last outcome;
-        `effect` and `out`: (n, engine, sent ago, started) of the forward that may have run, and of those out."""
+        """A req taken over in mid-life: `told` as in `arrived`, `age` ago; `since`: time from its last
+        outcome; `effect`, `out`: (n, engine, sent ago, started) of what may have run, of those out."""
         now, writer = self.now, self.out
         self.now, self.out = now - age, Record()
         self.out.forward = lambda *_: None  # they are out already
@@ -285,7 +285,8 @@
             r.stage, r.banned = UNREAD, f.engine
         else:
             r.held = r.held and not (ending == "full" and note == 1)
-            r.stage, r.clock, r.banned = READ if r.held else UNREAD, self.now, f.engine
+            r.clock = r.clock if ending == "unreachable" else self.now  # it never left: the state waits on
+            r.stage, r.banned = READ if r.held else UNREAD, f.engine
         if ending not in NEVER_RAN and not f.reads and r.group.get("effect") == "non-replayable":
             self.give_up(r)
 
@@ -326,6 +327,10 @@
 
     def learn(self, f, elapsed):
         self.feel(f, elapsed)
+        # what a cold engine is trusted with: only what was answered, or tries at a lost hall would raise it,
+        # and only what was read, since a cold one has kept nothing (an eighth: long sessions find nearly all)
+        part = max(f.cost / max(f.req.prompt, 1), 0.125) if f.reads else 1
+        self.carried.setdefault(f.engine.role, Sum(30_000_000)).add(self.now, part * self.usual_work(f.req))
         for way in (f.engine, f.link):
             if way:
                 way.answered, way.served_to = self.now, max(way.served_to, f.sent)
@@ -515,7 +520,6 @@
         engine.waiting[(r.id, f.n)] = f
         if self.strain(engine) >= 3:
             engine.tested = self.now
-        self.carried.setdefault(engine.role, Sum(30_000_000)).add(self.now, self.usual_work(r))
         if self.warmth(engine) < 1:
             engine.cold_sends = [*(engine.cold_sends or ()), (self.now, self.usual_work(r))][-400:]
         if link:
--- a/martenrouter/standins/arrivals.py
+++ b/martenrouter/standins/arrivals.py
@@ -15,11 +15,11 @@
 
 class Arrival:
     """One req to be asked. `leave`: how its client leaves it (cancel, close, rejoin, None), `after` so many seconds."""
-    __slots__ = ("session", "group", "text", "trace", "early", "leave", "after", "front")
+    __slots__ = ("session", "group", "text", "trace", "early", "leave", "after", "front", "customer")
 
-    def __init__(self, session, group, text, trace, early, leave, after, front):
+    def __init__(self, session, group, text, trace, early, leave, after, front, customer):
         self.session, self.group, self.text, self.trace, self.early = session, group, text, trace, early
-        self.leave, self.after, self.front = leave, after, front
+        self.leave, self.after, self.front, self.customer = leave, after, front, customer
 
 
 class Arrivals:
@@ -30,13 +30,17 @@
         self.gaps, self.base, self.count = random.Random(rnd.getrandbits(64)), rnd.getrandbits(64), 0
         self.openings = [self._words(traffic.opening_words) for _ in range(traffic.openings)]
         self.idle, self.sessions, self.burst = [], 0, 1.0
+        # shares, or weights, that troubles set for a while: all ask with one opening; prompts ten times as long; deadlines of
+        # a tenth, after which the client is back at once; the first customer asks so many times as often besides
+        self.hot = self.tail = self.impatient = self.greedy = 0.0
 
     def _words(self, count):
         return " ".join(self.random.choice(WORDS) for _ in range(max(int(count * self.random.uniform(0.5, 1.5)), 1)))
 
     def gap(self):
         """Seconds to the next arrival."""
-        return self.gaps.expovariate(self.traffic.rate * self.burst)
+        more = 1 + self.greedy / len(self.traffic.customers) if self.greedy else 1
+        return self.gaps.expovariate(self.traffic.rate * self.burst * more)
 
     def arrival(self):
         self.count += 1
@@ -44,16 +48,22 @@
         self.random = rnd
         group = rnd.choices(range(len(traffic.shares)), traffic.shares)[0]
         goes_on, place, opening = rnd.random() < traffic.go_on, rnd.random(), rnd.choice(self.openings)
-        if self.idle and goes_on:
+        opening = self.openings[0] if rnd.random() < self.hot else opening
+        if self.idle and goes_on and not self.hot:
             session = self.idle.pop(int(place * len(self.idle)))
         else:
             self.sessions += 1
             session = Session("s%d" % self.count, opening)
-        text, trace = self._words(traffic.turn_words), "%032x" % rnd.getrandbits(128)
+        text, trace = self._words(traffic.turn_words * (10 if rnd.random() < self.tail else 1)), "%032x" % rnd.getrandbits(128)
         early, how, after = rnd.random() < traffic.early, rnd.random(), rnd.uniform(0.02, 1.0)
         leave = ("cancel" if how < traffic.cancel else "close" if how < traffic.cancel + traffic.leave else
                  "rejoin" if how < traffic.cancel + traffic.leave + traffic.rejoin else None)
-        return Arrival(session, group, text, trace, early, leave, after, rnd.choice(self.fronts))
+        front, customer = rnd.choice(self.fronts), None
+        if traffic.customers:
+            weights = [1 + self.greedy] + [1] * (len(traffic.customers) - 1)
+            customer = rnd.choices(traffic.customers, weights)[0]
+        early = early or rnd.random() < self.impatient
+        return Arrival(session, group, text, trace, early, leave, after, front, customer)
 
     def answered(self, session, text):
         """A session whose answer is whole waits for its next turn, if it is not over."""
@@ -76,6 +86,8 @@
             "max_tokens": traffic.max_tokens, "deadline_ms": deadline_ms, "trace": "00-%s-%s-01" % (trace, trace[:16])}
     if group["effect"] == "keyed" or arrival.leave == "rejoin":
         told["key"] = trace
+    if arrival.customer:
+        told["customer"] = arrival.customer
     if traffic.tools:
         told["tools"] = [{"name": name, "repeatable": not name.startswith("set")} for name in traffic.tools]
     return told
--- a/martenrouter/standins/judge.py
+++ b/martenrouter/standins/judge.py
@@ -212,7 +212,7 @@
         for record in self.by_ev["status_out"] + self.by_ev["dropped"] + self.by_ev["done_out"] + self.by_ev["reset_out"]:
             over.setdefault(record["forward"], record["t"])
         end = self.records[-1]["t"] if self.records else 0
-        deaths = _by(self.by_ev["engine_killed"], "engine")
+        deaths = _by(self.by_ev["engine_killed"] + [{**fell, "engine": fell["who"]} for fell in self.by_ev["fell"]], "engine")
         deaf = [(record["who"], record["t"]) for record in self.by_ev["control"] if record.get("half_open")]
         for held in self.by_ev["held"]:
             read, engine = held["forward"], held["who"]
--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -142,6 +142,14 @@
         self.assertTrue(chain.talks.talks[3].effects)
 
 
+    def test_a_pause_counts_to_the_release_of_its_state(self):
+        # found by `rehearse planner-killed-long`: a state held 200 ms in a pause got all of the limit anew when it went on
+        chain, out = self.adopt(paused=True, steps=1, used=2, holder="w1", reader="w1", held=True, since=200_000,
+                                calls=[("0.0.x", "t", True, "out", 200_000)])
+        chain.turn(2_021_000, [("tool", (3, "0.0.x", 120, 60))], out)
+        self.assertEqual(chain.front.reqs[3 + (1 << 32)].clock, 1_800_000)
+
+
 class Learnt(unittest.TestCase):
     def test_health_and_kept_text_come_along(self):
         rig = Rig(ROWS)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -110,6 +110,37 @@
         sent = sum(len(rig.ask(1000 + i, after=50_000).all("forward")) for i in range(10))
         self.assertGreater(sent, 5)
 
+    def carried(self, ending, cost=1000):
+        """What a front trusts a reader with after twenty reqs of 1,000 tokens that ended so."""
+        rig = Rig()
+        for i in range(20):
+            rig.ask(i, session="s%d" % i, after=50_000)
+            if cost < 1000:
+                rig.front.reqs[i].out[0].cost = cost
+            rig.end(i, 0, ending, "r1")
+            if ending != "read":
+                rig.play(("gone", (i,)))
+        carried = rig.front.carried.get("read")
+        return carried.rate(rig.now) if carried else 0
+
+    def test_a_cold_engine_is_trusted_with_what_was_read_not_with_what_was_tried(self):
+        # found in the laboratory (drawn-small-10 and -23): tries at a lost hall, and prompts that were found kept, had raised the
+        # budget until readers that came back cold were pushed over
+        whole = self.carried("read")
+        self.assertEqual(self.carried("unreachable"), 0)
+        self.assertAlmostEqual(self.carried("read", cost=500) / whole, 0.5, 2)
+        self.assertAlmostEqual(self.carried("read", cost=0) / whole, 0.125, 2)
+
+    def test_a_forward_that_never_left_does_not_begin_the_release_clock_anew(self):
+        # found in the laboratory (drawn-small-23): a state waited 443 ms at its reader, with a refused connection in between
+        rig = Rig([row("r1", "rd"), row("w1", "wr"), row("w2", "wr")])
+        rig.ask(1)
+        first = rig.end(1, 0, "read", "r1").all("forward")[0][1]
+        clock = rig.front.reqs[1].clock
+        rig.end(1, 1, "unreachable", first, after=20_000)
+        self.assertEqual(rig.front.reqs[1].clock, clock)
+        rig.end(1, 2, "error", "w1" if first == "w2" else "w2", after=20_000)
+        self.assertGreater(rig.front.reqs[1].clock, clock)
 
     def test_many_fronts_do_not_push_a_cold_engine_over_together(self):
         sent = 0
