--- a/martenrouter/lab/emulator/runs.py
+++ b/martenrouter/lab/emulator/runs.py
@@ -1,7 +1,5 @@
-"""One run of a day, from its scenario to its figures; and many runs over processes, each day in a process of its own."""
+"""One run of a day, from its scenario to its figures."""
 import collections
-import concurrent.futures
-import multiprocessing
 import time
 
 import msgspec
@@ -58,37 +56,3 @@
                     "part in rounds": round(world.spent_in_rounds / 1e9 / (time.perf_counter() - began), 3)}
     verdict, first = verdict_of(world.records, scenario.expect) if judged else (None, None)
     return Run(scenario.name, seed, policy, day.tries, day.loads, world.troubles, told, day.deciders, day.links, verdict, first)
-
-
-def many(jobs, workers, told):
-    """Plays (key, scenario, seed, policy, judged) over processes; `told(key, Run or None, why)` for each as it ends. A worker that
-    dies takes its own runs with it, which are tried once more in another; what it would have given is the same."""
-    waiting = list(jobs)
-    for last in (False, True):
-        lost = []
-        context = multiprocessing.get_context("spawn")  # a day's process lives in the day's time: none is forked from another
-        with concurrent.futures.ProcessPoolExecutor(workers, mp_context=context, max_tasks_per_child=8) as pool:
-            asked = {pool.submit(_one, *job[1:]): job for job in waiting}
-            for done in concurrent.futures.as_completed(asked):
-                job = asked[done]
-                try:
-                    run = done.result()
-                except concurrent.futures.process.BrokenProcessPool:
-                    lost.append(job)
-                    continue
-                except Exception as why:  # one run's fault is told and ends no other
-                    told(job[0], None, "%s: %s" % (type(why).__name__, why))
-                    continue
-                told(job[0], run, None)
-        if not lost:
-            return
-        waiting = lost
-        if last:
-            for job in lost:
-                told(job[0], None, "its worker died twice")
-
-
-def _one(scenario, seed, policy, judged):
-    run = play(scenario, seed, policy, judged)
-    run.first = None
-    return run
