--- a/martenrouter/cli/main.py
+++ b/martenrouter/cli/main.py
@@ -11,7 +11,7 @@
     """Sub-commands are imported when they are called: an engine doesn't load what a judge needs."""
 
     WHERE = {"edge": "edge", "standin": "standin", "ask": "ask", "config": "config", "rehearse": "rehearse",
-             "judge": "judge", "lab": "lab", "load": "load", "planner": "planner", "front": "front"}
+             "judge": "judge", "lab": "lab", "ledger": "ledger", "load": "load", "planner": "planner", "front": "front"}
 
     def list_commands(self, ctx):
         return sorted(self.WHERE)
