Budgets and ledger in the running front: charged once, on disk before it is told done

Change: edge/books.py plays the budgets and writes the ledger in groups by a thread; hands ask it at arrival, at tokens and at the final answer.

--- a/martenrouter/decisions/budgets.py
+++ b/martenrouter/decisions/budgets.py
@@ -160,12 +160,13 @@
                 return Refusal(node.key, "cap", None if at is None else max(at - wall, 0))
         return None
 
-    def more(self, now, wall, id, written):
-        """Tokens of the answer came, `written` so far. True: go on; False: end the answer here, its budget is spent (asked again it
-        stays so)."""
+    def more(self, now, wall, id, written, prompt=None):
+        """Tokens of the answer came, `written` so far, or an engine has counted the prompt. True: go on; False: end the answer here, its
+        budget is spent (asked again it stays so)."""
         held = self.open.get(id)
         if held is None:
             return True
+        held.prompt = held.prompt if prompt is None else prompt
         held.written = max(written, held.written)
         if held.stopped:
             return False
@@ -199,6 +200,10 @@
         if held is None:
             return None
         charged = self.price(prompt, written)
+        if held.stopped and charged > held.amount:
+            # a prompt that an engine counted longer than was guessed: what the cap has no room for is the house's
+            self.house["beyond a cap"] = self.house.get("beyond a cap", 0) + charged - held.amount
+            charged = held.amount
         for key in held.path:
             node = self.nodes.get(key)
             if node is None:
--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -158,6 +158,8 @@
                 if not forward.began:
                     patience.close()
                 hear.tokens(forward, texts)
+                if forward.over:
+                    raise Stopped()  # its answer ends here: the connection is closed, and the engine stops
 
     def _pieces(self, forward, pieces, texts, hear):
         """Texts of an answer's pieces are put in `texts`; True when the answer said that it is whole. Raises BadAnswer."""
--- a/martenrouter/edge/facts.py
+++ b/martenrouter/edge/facts.py
@@ -11,7 +11,7 @@
                  "messages", "size", "body", "goes_on", "tools", "repeatable", "max_tokens",
                  "leg", "used", "forwards", "owner", "held", "texts", "step", "step_texts", "step_calls", "calls",
                  "listeners", "left_at", "answered", "swamped", "usage", "finish",
-                 "told", "conn_id", "leg_at", "since", "reader", "effect", "rewrites", "paused")
+                 "told", "conn_id", "leg_at", "since", "reader", "effect", "rewrites", "paused", "prompt_tokens")
 
     def __init__(self, id, arrived):
         self.id, self.arrived = id, arrived
@@ -24,7 +24,7 @@
         self.calls = {}              # identity -> ToolCall, all steps
         self.listeners, self.left_at = [], None
         self.answered = self.swamped = self.goes_on = False
-        self.usage, self.finish = [0, 0], None
+        self.usage, self.finish, self.prompt_tokens = [0, 0], None, 0
         # what a decider is rebuilt from: `arrived` as it was posted, since when this leg, since when what is held waits,
         # where its state was read or kept, the first forward of the leg that may have run (n, engine, sent)
         self.told, self.conn_id, self.leg_at, self.since = None, 0, arrived, arrived
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -10,6 +10,7 @@
 from martenrouter.decisions.chain import Chain
 from martenrouter.decisions.connections import Connections
 from martenrouter.edge import clock
+from martenrouter.edge.books import Books
 from martenrouter.edge.desk import Desk
 from martenrouter.edge.door import Door
 from martenrouter.edge.engines import Engines
@@ -42,6 +43,7 @@
             source, service=settings_of.address(source.service, "list.service") if source.service else None)
         self.roster = Roster(settings.name, source, settings.seed, self.list_came, self.engines.moved, self.counters,
                              self.record, log)
+        self.books = Books(settings.budgets, settings.name, settings.fronts, self.counters, log) if settings.budgets else None
         self.done, self.loop = Event(), LoopWatch()
 
     # ---- life ----
@@ -52,6 +54,8 @@
         self.roster.start()
         self.desk.start()
         self.loop.start()
+        if self.books:
+            self.books.start()
         if self.plan:
             self.plan.start()
         gevent.spawn(self._look_after)
@@ -82,6 +86,8 @@
             while self.reqs:
                 gevent.sleep(0.01)
         self.door.shut_all(min(within, 1))
+        if self.books:
+            self.books.stop()
         if self.plan:
             self.plan.stop()
         self.log.info("front_stopped", unanswered=self.count(), **self.counters)
@@ -104,4 +110,5 @@
                                                          "max": cost.get_max_value()},
                 "loop_late_us": self.loop.status(), "faults": self.desk.faults, "decides": self.desk.who(),
                 "epoch": self.desk.takeover.epoch, "list": [self.roster.members.epoch, self.roster.members.version],
-                "engines": len(self.engines.addresses), "counters": dict(self.counters)}
+                "engines": len(self.engines.addresses), "counters": dict(self.counters),
+                **({"budgets": self.books.status()} if self.books else {})}
--- a/martenrouter/edge/hands.py
+++ b/martenrouter/edge/hands.py
@@ -35,7 +35,7 @@
         self.reqs, self.last_id = {}, 0    # open reqs; those answered stay until their forwards are over
         self.boot = "%x" % (clock.wall() // 1000)  # tells this process's forwards from those of one before
         self.lengths, self.stopping = Lengths(), False
-        self.desk = self.engines = None
+        self.desk = self.engines = self.books = None  # books: edge/books.py, where customers have budgets
 
     def count(self):
         """Reqs that still wait for their final answer."""
@@ -106,6 +106,13 @@
         r.told = (group.name, told.customer, told.session, r.deadline, hint, prefix,
                   self.lengths.guess(group.name, r.size), shared, r.max_tokens, 1 if hint else 0)
         r.conn_id = conn.id
+        if self.books is not None:
+            refused = self.books.taken(r, r.told[6])
+            if refused is not None:
+                reason, after = refused
+                self._answer(r, lambda id: jsonrpc.pushed_back(id, reason, after, self._name(r)), "pushed back", reason)
+                return None
+            self.books.opened_(r, self._name(r))
         self.desk.post("arrived", r.id, *r.told, conn.id)
         return None
 
@@ -234,6 +241,13 @@
         self.desk.flow[forward.leg] = self.desk.flow.get(forward.leg, 0) + len(texts)
         r.texts += texts
         r.step_texts += texts
+        if self.books is not None and not self.books.wrote(r):
+            # the token that would pass the cap is not the client's; the answer ends before it, and its engine hears of it
+            del r.texts[len(r.texts) - len(texts):], r.step_texts[len(r.step_texts) - len(texts):]
+            forward.finish = "budget"
+            self.ended(forward, "done", 0)
+            self.engines.stop(forward)
+            return
         for listener in r.listeners:
             self._tell(listener, r.texts)
         if not r.swamped and r.listeners and all(listener.stuck for listener in r.listeners):
@@ -274,6 +288,9 @@
         """A read is done and its state waits at the reader."""
         r = forward.req
         if not r.leg:
+            r.prompt_tokens = prompt_tokens
+            if self.books is not None:
+                self.books.read(r, prompt_tokens)
             self.lengths.told(r.group.name, r.size, prompt_tokens)
         if not forward.over:
             r.held, r.reader = Held(forward.engine, forward.id, state), forward.engine
@@ -344,6 +361,24 @@
         if r.answered:
             return
         r.answered = True
+        for forward in list(r.forwards.values()):
+            if not forward.over:
+                self._stop(forward, "cancelled")
+        if self.books is not None and ending in ("done", "pushed back", "aborted", "client left"):
+            got = ending == "done" or ending == "client left" or reason == "cancelled"
+            if got and (r.texts or ending == "done"):
+                # booked before it is told: of what a crash loses, no client was told that it is done
+                return self.books.settled(r, self._name(r), self._prompt(r), lambda booked: self._final(
+                    r, *((final, ending, reason) if booked or ending != "done" else (
+                        lambda id: jsonrpc.aborted(id, "usage can't be booked", self._name(r)), "aborted", "not booked"))))
+            self.books.dropped(r, self._name(r), self._prompt(r))
+        self._final(r, final, ending, reason)
+
+    def _prompt(self, r):
+        """Tokens of the prompt as it was asked: as an engine counted them, else as guessed."""
+        return r.prompt_tokens or r.usage[0] or r.told[6]
+
+    def _final(self, r, final, ending, reason):
         self.counters["req_" + ending.replace(" ", "_")] += 1
         self.record("req_out", req=r.id, trace=r.trace, ending=ending, reason=reason, tokens=len(r.texts))
         self.log.debug("req_ended", req=r.id, ending=ending, reason=reason, tokens=len(r.texts), trace=r.trace)
@@ -359,9 +394,6 @@
                 listener.conn.send(final(listener.rpc_id), spare=True)
         for call in r.calls.values():
             self.tool_calls.pop(call.rpc_id, None)
-        for forward in list(r.forwards.values()):
-            if not forward.over:
-                self._stop(forward, "cancelled")
         self._forget(r)
 
     # ---- what the desk decides; `leg` is the id of a req's leg ----
--- a/martenrouter/settings/front.py
+++ b/martenrouter/settings/front.py
@@ -72,6 +72,32 @@
     window_ms: float = 3000
 
 
+class Budget(_Part):
+    """Limits of an installation, customer, endpoint group or session. `cap`: units a `period` (hour, day, month, or microseconds of a
+    rolling window); `on_cap`: one answer that passes the cap while it is written may be finished (one), none (end), all (finish)."""
+    cap: int | None = None
+    period: typing.Literal["hour", "day", "month"] | int = "day"
+    rate_per_s: float | None = None
+    burst: float | None = None
+    open: int | None = None
+    share: float = 1
+    on_cap: typing.Literal["one", "end", "finish"] = "one"
+
+
+class Budgets(_Part):
+    """What customers may spend, in units: a prompt token costs `read_price`, an answer token `write_price`. `ledger`: a directory; without
+    one nothing is booked. `parts`: how this front's part of each limit is found (docs/budgets.md)."""
+    read_price: int = 1
+    write_price: int = 4
+    installation: Budget | None = None
+    each_customer: Budget | None = None
+    customers: dict[str, Budget] = {}
+    groups: dict[str, Budget] = {}
+    each_session: Budget | None = None
+    parts: typing.Literal["fixed", "following", "leased"] = "fixed"
+    ledger: str | None = None
+
+
 class ListSource(_Part):
     """Where the list of engines comes from: `service` (host:port) or `file`; `keep` is where the last one is kept."""
     service: str | None = None
@@ -102,6 +128,7 @@
     cold: Cold = msgspec.field(default_factory=Cold)
     list: ListSource = msgspec.field(default_factory=lambda: ListSource(service="127.0.0.1:7800"))
     planner: str | None = None  # path of the Unix socket that a planner connects to; without one the edge decides
+    budgets: Budgets | None = None
     records: str | None = None
     log: Log = msgspec.field(default_factory=Log)
 
@@ -139,15 +166,34 @@
         raise BadSettings("%s: at limits.connect_within_ms: 900 is the most, so that drains are kept" % where)
     if not 0 < settings.cold.share <= 1:
         raise BadSettings("%s: at cold.share: over 0 to 1" % where)
+    if settings.budgets:
+        for name, limits in _limits_of(settings.budgets):
+            if limits.burst is not None and limits.rate_per_s is None:
+                raise BadSettings("%s: at budgets.%s.burst: needs rate_per_s" % (where, name))
+            if limits.period not in ("hour", "day", "month") and limits.period < 60:
+                raise BadSettings("%s: at budgets.%s.period: hour, day, month or microseconds" % (where, name))
     return settings
 
 
+def _limits_of(budgets):
+    for name in ("installation", "each_customer", "each_session"):
+        if getattr(budgets, name):
+            yield name, getattr(budgets, name)
+    for name in ("customers", "groups"):
+        for one, limits in getattr(budgets, name).items():
+            yield "%s.%s" % (name, one), limits
+
+
 def _numbers(part, where, path):
     zero = ("importance", "over_share_importance", "seed", "idle_connections_an_engine", "target_per_1000_prompt_ms")
     for field in msgspec.structs.fields(part):
         value, here = getattr(part, field.name), path + field.name
         if isinstance(value, msgspec.Struct):
             _numbers(value, where, here + ".")
+        elif isinstance(value, dict):
+            for name, item in value.items():
+                if isinstance(item, msgspec.Struct):
+                    _numbers(item, where, "%s.%s." % (here, name))
         elif isinstance(value, list):
             for i, item in enumerate(value):
                 if isinstance(item, msgspec.Struct):
--- a/martenrouter/state/ledger.py
+++ b/martenrouter/state/ledger.py
@@ -142,9 +142,9 @@
 
     # ---- snapshots of counters: a start reads the newest and the entries after it ----
 
-    def keep_counters(self, told):
-        """`told`: decisions.budgets.Budgets.export, as of the last entry."""
-        data = _pack({"at": self.last, "told": told})
+    def keep_counters(self, told, at=None):
+        """`told`: decisions.budgets.Budgets.export, as of entry number `at` (the last one)."""
+        data = _pack({"at": self.last if at is None else at, "told": told})
         try:
             with self._env.begin(write=True) as txn:
                 before = txn.get(b"mcounters")
