--- a/bench/front.py
+++ b/bench/front.py
@@ -21,7 +21,7 @@
 from martenrouter.lab.processes import Ports, Process
 
 class Fleet:
-    def __init__(self, readers=1, writers=2, command=None, planner=False):
+    def __init__(self, readers=1, writers=2, command=None, planner=False, more=None):
         self.dir, ports, self.processes = tempfile.mkdtemp(prefix="bench-"), Ports(), []
         self.told, entries = {"readers": [], "writers": []}, []
         for role, kind, count in (("readers", "rd", readers), ("writers", "wr", writers)):
@@ -35,12 +35,14 @@
         with open(listing, "w") as file:
             json.dump({"scope": "whole", "epoch": 1, "version": 1, "entries": entries}, file)
         port = ports.take()
-        path = os.path.join(self.dir, "front.jsonnet")
+        path, more = os.path.join(self.dir, "front.jsonnet"), dict(more or {})
+        if "budgets" in more:
+            more["budgets"] = {**more["budgets"], "ledger": os.path.join(self.dir, "ledger")}
         with open(path, "w") as file:
             json.dump({"listen": "127.0.0.1:%d" % port, "list": {"file": listing}, "limits": {"connections": 20_000, "pauses": 5000, "tool_call_within_ms": 600_000, "open_reqs": 5000},
                        "kinds": [{"name": "rd", "role": "read", "memory_tokens": 4_000_000},
                                  {"name": "wr", "role": "write", "memory_tokens": 4_000_000}],
-                       "log": {"level": "warning"}}, file)
+                       "log": {"level": "warning"}, **more}, file)
         self.told["fronts"] = [("127.0.0.1", port)]
         self.plan = os.path.join(self.dir, "plan.sock")
         self.front = self.start("front", ["edge", path, *(["--planner", self.plan] if planner else [])], port, command)
--- a/martenrouter/cli/rehearse.py
+++ b/martenrouter/cli/rehearse.py
@@ -21,6 +21,7 @@
     from martenrouter.cli.judge import show
     from martenrouter.lab import scenario as scenarios
     from martenrouter.lab.rehearse import Rehearsal
+    from martenrouter.lab.audit import audited
     from martenrouter.lab.verdict import text, verdict
     from martenrouter.settings.load import BadSettings
     if names:
@@ -42,6 +43,9 @@
             click.echo("%s, seed %d: %s" % (day.name, seed, day.about), err=True)
         codes = rehearsal.play()
         told, first = verdict(directory, day.expect, codes)
+        if day.settings.get("budgets"):
+            told["ledger"] = audited(day, directory, rehearsal.exports())
+            told["kept"] = told["kept"] and not told["ledger"]["breaks"]
     finally:
         shutil.rmtree(rehearsal.logs, ignore_errors=True)
         if not records:
--- a/martenrouter/edge/books.py
+++ b/martenrouter/edge/books.py
@@ -8,6 +8,7 @@
 
 from martenrouter.decisions import booking
 from martenrouter.decisions.budgets import Budgets, Limits
+from martenrouter.decisions.heavy import Heavy
 from martenrouter.decisions.parts import Following, Leased, fixed
 from martenrouter.decisions.periods import calendar
 from martenrouter.edge import clock
@@ -33,6 +34,7 @@
         self.period_end, self.period = 0, None
         self.budgets = Budgets(now, self._limits, told.read_price, told.write_price, self._part)
         self.queue, self.opened, self.ended, self.came = [], [], [], Event()
+        self.heavy = Heavy(256, 600_000_000)  # over ten minutes: who it is that fills the fleet just now
         self.failing = self.writing = False
         self.greenlets = []
         self.expected = {}         # endpoint group -> answer tokens usually written, in 1/256ths
@@ -151,6 +153,8 @@
         self.expected[r.group.name] = old + (written * 256 - old) // 16
         if r.usage[0] > prompt or r.usage[1] > written:
             self.budgets.waste("read or written anew", max(r.usage[0] - prompt, 0), max(r.usage[1] - written, 0))
+        if units and r.customer is not None:
+            self.heavy.add(now, r.customer, units)
         if self.ledger is None or units is None:
             return then(True)
         self.queue.append((booking.charge(identity, self.period, wall, r.customer, r.group.name, r.session, prompt, written, units,
@@ -243,5 +247,5 @@
             self.log.warning("counters_not_kept", why=str(why))
 
     def status(self):
-        return {"house": dict(self.budgets.house), "refused": dict(self.budgets.refused), "open": len(self.budgets.open),
+        return {"heavy": [[name, round(most, 3)] for name, most, _ in self.heavy.top(10)], "house": dict(self.budgets.house), "refused": dict(self.budgets.refused), "open": len(self.budgets.open),
                 "entries": self.ledger.last if self.ledger is not None else None, "failing": self.failing}
--- a/martenrouter/lab/emulator/people.py
+++ b/martenrouter/lab/emulator/people.py
@@ -199,7 +199,8 @@
             ending = ENDINGS.get(error.get("code"), "error" if error else "done")
             self.record("final_in", conn=link.id, id=message.get("id"), trace=link.traces.get(message.get("id")), ending=ending,
                         code=error.get("code"), reason=told.get("reason") or error.get("message"),
-                        return_after_ms=told.get("return_after_ms"), tokens=result.get("tokens"))
+                        return_after_ms=told.get("return_after_ms"), tokens=result.get("tokens"),
+                        finish=result.get("finish_reason"))
             ask = link.asks.get(message.get("id"))
             if ask is not None and not ask.answered:
                 self._ended(ask, message)
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -16,6 +16,7 @@
 from martenrouter.settings.load import BadSettings
 from martenrouter.standins.clients import Clients
 from martenrouter.standins.clocks import watch_lag
+from martenrouter.state.ledger import Ledger, read_export
 from martenrouter.state.records import Recorder
 from martenrouter.wire import http, nodes
 
@@ -56,6 +57,18 @@
         finally:
             self.stop()
 
+    def exports(self):
+        """The ledgers of all fronts, exported now that they have stopped: as decisions.booking.reconcile takes them; [] without budgets."""
+        told = []
+        for name in sorted(self.addresses):
+            path = os.path.join(self.logs, name + ".ledger")
+            if os.path.isdir(path):
+                ledger, out = Ledger(path, name), path + "-out"
+                ledger.export(out)
+                ledger.close()
+                told += [read_export(os.path.join(out, file)) for file in sorted(os.listdir(out))]
+        return told
+
     def stop(self):
         gevent.killall(self.work, block=False)
         for process in self.processes.values():
@@ -88,6 +101,8 @@
                 scenario, self.seed, i, "127.0.0.1:%d" % port, self.specs, records=self.dir,
                 list={"service": "127.0.0.1:%d" % list_port, "keep": os.path.join(self.logs, name + ".list")},
                 **({"planner": os.path.join(self.logs, name + ".sock")} if scenario.planners else {}))
+            if settings.get("budgets"):
+                settings["budgets"] = {**settings["budgets"], "ledger": os.path.join(self.logs, name + ".ledger")}
             settings_of.check(settings, scenario.name)
             path = os.path.join(self.logs, name + ".jsonnet")
             with open(path, "wb") as file:
--- a/martenrouter/lab/verdict.py
+++ b/martenrouter/lab/verdict.py
@@ -62,6 +62,12 @@
             value = first.get_value_at_percentile(p) / 1000
             lines.append("    p%-4d %8.1f  %s" % (p, value, "#" * min(int(value / 20) + 1, 60)))
     lines.append("the machine stood still for %.0f ms at the most" % figures["machine lag ms"])
+    if "ledger" in told:
+        ledger = told["ledger"]
+        lines.append("ledger against traffic: %d charges, %d units, %d reqs done; spent %s" % (
+            ledger["charges"], ledger["units"], ledger["done"], ", ".join("%s %d" % pair for pair in sorted(ledger["spent"].items()))))
+        for what, req, message in ledger["breaks"][:10]:
+            lines.append("    BROKEN, %s: %s: %s" % (what, req, message))
     for miss in told["missed"]:
         lines.append("NOT AS EXPECTED: %s" % miss)
     lines.append("verdict: %s" % ("all rules kept, all as the scenario expects" if told["kept"] and told["expected"] else
--- a/martenrouter/standins/clients.py
+++ b/martenrouter/standins/clients.py
@@ -89,7 +89,7 @@
             told = message.get("result") if isinstance(message.get("result"), dict) else {}
             self.record("final_in", conn=client.conn_id, id=message.get("id"), trace=client.traces.get(message.get("id")),
                         ending=ending, code=error.get("code"), reason=data.get("reason") or error.get("message"),
-                        return_after_ms=data.get("return_after_ms"), tokens=told.get("tokens"))
+                        return_after_ms=data.get("return_after_ms"), tokens=told.get("tokens"), finish=told.get("finish_reason"))
 
     def _tool(self, client, params):
         """A tool at the client: run once for each call, its result a function of its arguments."""
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -4,10 +4,14 @@
 import sys
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from martenrouter.decisions import booking
+from martenrouter.lab.audit import audit
 from martenrouter.lab.emulator.events import Heap, Wheel
+from martenrouter.settings import front as front_settings
 
 CODE = ("import hashlib, json, sys\nfrom martenrouter.lab import catalogue, scenario\n"
         "from martenrouter.lab.emulator.world import World\n"
@@ -54,5 +58,44 @@
                 self.assertNotEqual(self.digest(name, seed, "1"), self.digest(name, seed + 1, "1"))
 
 
+class Audits(unittest.TestCase):
+    """The check of ledgers against traffic sees what it is there for."""
+
+    def told(self, **final):
+        messages = [{"role": "user", "content": "x" * 40}]
+        return [{"ev": "req_out", "who": "clients", "trace": "t1", "messages": messages, "max_tokens": 64},
+                {"ev": "forward_in", "trace": "00-t1-x-01", "kind": "read", "prompt": 10, "who": "rd"},
+                {"ev": "token_in", "trace": "t1", "tokens": ["a", "b"], "who": "clients"},
+                {"ev": "final_in", "trace": "t1", "ending": "done", "who": "clients", **final}]
+
+    def exports(self, *entries):
+        return [("front-0", 1, len(entries), list(entries), True)]
+
+    def entry(self, number=1, **more):
+        made = booking.charge("front-0-%d" % number, "2025-12-01", 5, "ada", "chat", None, 10, 2, 18, "00-t1-x-01")
+        return {**made, **more}
+
+    def breaks(self, told, exports, **budgets):
+        limits = msgspec.convert({"read_price": 1, "write_price": 4, **budgets}, front_settings.Budgets)
+        return [what for what, _, _ in audit(told, exports, limits, 1)["breaks"]]
+
+    def test_each_kind_of_fault_is_named(self):
+        good = self.exports(self.entry())
+        cases = (("right", self.told(), good, {}, []), ("not charged", self.told(), [], {}, ["charged once"]),
+                 ("charged twice", self.told(), self.exports(self.entry(), self.entry(2)), {}, ["charged once"]),
+                 ("a token too many", self.told(), self.exports(self.entry(written=3, units=22)), {}, ["charged what it got"]),
+                 ("another prompt", self.told(), self.exports(self.entry(prompt=11, units=19)), {}, ["charged what it got"]),
+                 ("too dear", self.told(), self.exports(self.entry(units=19)), {}, ["charged what it got"]),
+                 ("charged for a pushback", self.told(ending="pushed back", reason="x"), good, {}, ["charged what it got"]),
+                 ("never asked for", self.told()[1:2], good, {}, ["charged what it got"]),
+                 ("a gap", self.told(), [("front-0", 3, 3, [self.entry()], True)], {}, ["ledger"]),
+                 ("over its cap", [{**record, **({"trace": record["trace"].replace("t1", "t%d" % i)})} for i in range(1, 30)
+                                   for record in self.told()],
+                  self.exports(*[self.entry(i, why="00-t%d-x-01" % i) for i in range(1, 30)]), {"each_customer": {"cap": 20}}, ["caps"]))
+        for name, told, exports, budgets, breaks in cases:
+            with self.subTest(name):
+                self.assertEqual(self.breaks(told, exports, **budgets), breaks)
+
+
 if __name__ == "__main__":
     unittest.main()
