Budgets follow the settings file on SIGHUP, and parts the operator's file of leases

Need: limits that are lowered under load, parts handed out for a time. Change: SIGHUP reads budgets anew (through the supervisor too); a leases file is watched, checked and refused when it hands out too much. Measured: tests on sockets: three answers end at a lowered cap, the next is pushed back; a lease's part is held to its end.

--- a/martenrouter/cli/edge.py
+++ b/martenrouter/cli/edge.py
@@ -12,12 +12,13 @@
 def command(path, given, planner, with_stdin):
     """Serves clients; settings from PATH (Jsonnet), or the embedded defaults.
 
-    SIGTERM or SIGINT stops it cleanly, a second one at once.
+    SIGTERM or SIGINT stops it cleanly, a second one at once; SIGHUP reads the budgets of PATH anew.
     """
     from martenrouter.cli.life import settle_memory, stop_with_stdin
     from martenrouter.edge.front import Front
     from martenrouter.edge.log import logger
     from martenrouter.settings.front import load
+    from martenrouter.state.ledger import Unusable
     settings = load(path, given)
     if planner:
         settings.planner = planner
@@ -26,7 +27,9 @@
         stop_with_stdin()
     settle_memory()
     try:
-        code = Front(settings, log).run()
+        code = Front(settings, log, lambda: load(path, given)).run()
+    except Unusable as why:
+        raise click.ClickException("%s: %s" % (settings.name, why)) from why
     except OSError as why:
         raise click.ClickException("%s: can't listen on %s%s: %s" % (
             settings.name, settings.listen, " and " + settings.planner if settings.planner else "", why)) from why
--- a/martenrouter/edge/books.py
+++ b/martenrouter/edge/books.py
@@ -3,7 +3,10 @@
 What was spent is a fact, so the books are the edge's, whoever decides placement. The choices are decisions/budgets.py and
 decisions/booking.py; this plays them: a thread writes to the ledger in groups, greenlets wait for their group.
 """
+import os
+
 import gevent
+import msgspec
 from gevent.event import Event
 
 from martenrouter.decisions import booking
@@ -17,18 +20,26 @@
 GROUP = 2_000        # microseconds that a group waits for others: under the scatter of a final answer
 AGAIN = 200_000      # between tries while the disk is full
 COUNTERS_EACH = 30_000_000
-LOOK_EACH = 5_000_000
+LOOK_EACH = 1_000_000
 SPARE = 60_000_000   # a reservation lives this much longer than its req's deadline
 EXPORTED_KEPT = 100_000  # entries that stay after they were exported, for corrections and questions
 MARGIN = 100_000     # a final answer that can't be booked by then is an abort, before the deadline
 
 
+class Leases(msgspec.Struct, forbid_unknown_fields=True):
+    """The file that hands out parts: until when (wall time in milliseconds), and customer -> front -> part of its limits."""
+    until_ms: int
+    parts: dict[str, dict[str, float]]
+
+
 class Books:
     def __init__(self, told, name, fronts, counters, log):
         """`told`: settings.front.Budgets. Raises state.ledger.Unusable."""
         self.told, self.name, self.counters, self.log = told, name, counters, log
         self.way = {"fixed": None, "following": Following(fronts), "leased": Leased(name, fronts)}[told.parts]
-        self.even = fixed(fronts)
+        self.even, self.fronts, self.leases_seen = fixed(fronts), fronts, 0
+        if isinstance(self.way, Leased):
+            self._read_leases()
         self.ledger = Ledger(told.ledger, name) if told.ledger else None
         now, wall = clock.now(), clock.wall()
         self.period_end, self.period = 0, None
@@ -88,6 +99,31 @@
             identity, self.period, wall, fields.get("customer"), fields.get("group"), fields.get("session")))
         self.log.info("ledger_opened", entries=self.ledger.last, counters_at=at, entries_after=count, left_by_a_crash=len(left))
 
+    def changed(self, told):
+        """New limits from a settings file, under load: what is spent, reserved and open stays. Ledger, prices and the way to parts are
+        those of the start."""
+        kept = {name: getattr(self.told, name) for name in ("ledger", "read_price", "write_price", "parts", "leases")}
+        self.told = msgspec.structs.replace(told, **kept)
+        self.budgets.changed(clock.now(), clock.wall())
+        self.log.info("budgets_changed", customers=len(told.customers))
+
+    def _read_leases(self):
+        """The operator's file, when it is a newer one; a bad one is said and the old lease runs on to its end."""
+        try:
+            stat = os.stat(self.told.leases)
+            if stat.st_mtime_ns == self.leases_seen:
+                return
+            self.leases_seen = stat.st_mtime_ns
+            with open(self.told.leases, "rb") as file:
+                found = msgspec.json.decode(file.read(), type=Leases)
+            wrong = Leased.check(found.parts, self.fronts)
+            if wrong:
+                raise ValueError(wrong)
+        except (OSError, msgspec.MsgspecError, ValueError) as why:
+            self.log.warning("leases_unusable", path=self.told.leases, why=str(why), mend="the lease held runs on to its end")
+            return
+        self.way.put(found.until_ms * 1000, {customer: of[self.name] for customer, of in found.parts.items() if self.name in of})
+
     def start(self):
         self.greenlets = [gevent.spawn(self._look)] + ([gevent.spawn(self._write)] if self.ledger is not None else [])
 
@@ -225,7 +261,9 @@
             for id in self.budgets.lapsed(now):
                 self.counters["reservation_lapsed"] += 1
                 self.log.warning("reservation_lapsed", req=id)
-            if isinstance(self.way, Following):
+            if isinstance(self.way, Leased):
+                self._read_leases()
+            elif isinstance(self.way, Following):
                 for key, node in self.budgets.nodes.items():
                     if node.period is not None and node.limits.period in ("hour", "day", "month"):
                         _, begin, end = calendar(node.limits.period, wall)
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -20,6 +20,7 @@
 from martenrouter.edge.planner_door import PlannerDoor
 from martenrouter.edge.roster import Roster
 from martenrouter.settings import front as settings_of
+from martenrouter.settings.load import BadSettings
 from martenrouter.state import records
 from martenrouter.wire.channel import VERSION, Welcome
 
@@ -27,7 +28,9 @@
 
 
 class Front(Hands):
-    def __init__(self, settings, log):
+    def __init__(self, settings, log, again=None):
+        """`again()` gives the settings anew, for SIGHUP; raises BadSettings."""
+        self.again = again
         super().__init__(settings, records.recorder(settings.records, settings.name), log)
         limits = settings.limits
         module, chain = settings_of.for_module(settings), settings_of.for_chain(settings)
@@ -66,6 +69,7 @@
         self.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._signalled)
+        gevent.signal_handler(signal.SIGHUP, self._settings_again)
         self.done.wait()
         return 0
 
@@ -76,6 +80,18 @@
         self.stopping = True
         gevent.spawn(self.stop)
 
+    def _settings_again(self):
+        """Budgets follow the settings file; all else needs a start."""
+        try:
+            told = self.again() if self.again else None
+        except BadSettings as why:
+            self.log.error("settings_refused", why=str(why), mend="the old ones stay")
+            return
+        if self.books and told and told.budgets:
+            self.books.changed(told.budgets)
+        else:
+            self.log.warning("settings_not_read_again", why="only budgets are, where there were some at the start")
+
     def stop(self):
         """Nothing new is taken; what is open is finished, or answered when the time to stop is over."""
         within = self.settings.limits.stop_within_ms / 1000
--- a/martenrouter/planner/supervisor.py
+++ b/martenrouter/planner/supervisor.py
@@ -25,6 +25,7 @@
         """Until a signal, or the edge's end; returns the exit code."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
+        signal.signal(signal.SIGHUP, lambda *_: self.running["edge"].send_signal(signal.SIGHUP))  # settings are the edge's
         self._start("edge")
         self._start("planner")
         again_at = None
--- a/martenrouter/settings/front.py
+++ b/martenrouter/settings/front.py
@@ -95,6 +95,7 @@
     groups: dict[str, Budget] = {}
     each_session: Budget | None = None
     parts: typing.Literal["fixed", "following", "leased"] = "fixed"
+    leases: str | None = None    # the file that hands parts out, for `leased`
     ledger: str | None = None
 
 
@@ -167,6 +168,8 @@
     if not 0 < settings.cold.share <= 1:
         raise BadSettings("%s: at cold.share: over 0 to 1" % where)
     if settings.budgets:
+        if (settings.budgets.parts == "leased") != (settings.budgets.leases is not None):
+            raise BadSettings("%s: at budgets.leases: a file is needed for parts 'leased', and for these alone" % where)
         for name, limits in _limits_of(settings.budgets):
             if limits.burst is not None and limits.rate_per_s is None:
                 raise BadSettings("%s: at budgets.%s.burst: needs rate_per_s" % (where, name))
--- a/tests/sockets/test_budgets_at_the_edge.py
+++ b/tests/sockets/test_budgets_at_the_edge.py
@@ -1,9 +1,11 @@
 """Budgets and the ledger in a front on sockets: caps reached midway, charged once, crashes between the last token and the sync."""
+import json
 import os
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -13,6 +15,8 @@
 from martenrouter.decisions import booking
 from martenrouter.edge.client import Client, Left
 from martenrouter.lab.processes import Ports
+from martenrouter.settings import front as settings_of
+from martenrouter.settings.load import BadSettings
 from martenrouter.state.ledger import Ledger, Unusable
 from tests.sockets.rig import GROUPS, Engine, Rig, ending
 
@@ -135,6 +139,50 @@
             self.assertEqual(endings.count("done"), done, (customer, endings))
 
 
+    def test_budgets_lowered_by_new_settings_under_load(self):
+        rig = self.rig({"each_customer": {"cap": 100_000, "on_cap": "end"}})
+        client = rig.client()
+        self.addCleanup(client.close)
+        ids = [client.begin("generate", {"prompt": "p", "customer": "a", "max_tokens": 100, "deadline_ms": 5000}) for _ in range(3)]
+        rig.until(lambda: all(len(r.texts) > 8 for r in rig.front.reqs.values()) and len(rig.front.reqs) == 3)
+        lower = msgspec.structs.replace(rig.front.settings.budgets, each_customer=settings_of.Budget(cap=60, on_cap="end"), write_price=9)
+        rig.front.again = lambda: msgspec.structs.replace(rig.front.settings, budgets=lower)
+        rig.front._settings_again()
+        answers = [client.wait(id, 5) for id in ids]
+        self.assertEqual({answer["result"]["finish_reason"] for answer in answers}, {"budget"})
+        self.assertEqual([ending(answer) for answer in self.ask(rig, 1)], ["pushed back"])
+        for entry in self.booked(rig):  # at the prices of the start, for what came
+            self.assertLessEqual(entry["units"], entry["prompt"] + entry["written"])
+
+        def bad():
+            raise BadSettings("f.jsonnet: at budgets: no")
+        rig.front.again = bad
+        rig.front._settings_again()  # said, and the old ones stay
+        self.assertEqual(rig.front.books.told.each_customer.cap, 60)
+
+    def test_parts_follow_the_operators_file_until_their_time(self):
+        leases = self.path + ".leases"
+
+        def write(parts, until=3600):
+            with open(leases + ".new", "w") as file:
+                json.dump({"until_ms": int((time.time() + until) * 1000), "parts": parts}, file)
+            os.replace(leases + ".new", leases)
+        write({"a": {"front-x": 0.75, "front-y": 0.25}})
+        rig = self.rig({"each_customer": {"cap": 1000}, "parts": "leased", "leases": leases}, fronts=2)
+        key, books = ("customer", "a"), rig.front.books
+        self.ask(rig, 1)
+        self.assertEqual(books.budgets.holds(key)[1], 750)
+        write({"a": {"front-x": 0.9, "front-y": 0.9}})  # hands out more than there is: refused, the old one runs on
+        gevent.sleep(1.2)
+        self.assertEqual(books.budgets.holds(key)[1], 750)
+        write({"a": {"front-x": 0.3, "front-y": 0.7}}, until=0.5)
+        rig.until(lambda: books.budgets.holds(key)[1] == 250, 4)  # over at once but for the guard: half of an even part
+        with open(leases, "w") as file:
+            file.write("{")
+        gevent.sleep(1.2)
+        self.assertEqual([ending(answer) for answer in self.ask(rig, 1)], ["done"])
+
+
 class Failing(Case):
     def test_a_disk_that_is_full_means_no_answer_is_told_done_and_new_reqs_are_pushed_back(self):
         rig = self.rig({"each_customer": {"cap": 100_000}})
