--- a/martenrouter/edge/books.py
+++ b/martenrouter/edge/books.py
@@ -257,21 +257,25 @@
         since = clock.now()
         while True:
             gevent.sleep(LOOK_EACH / 1e6)
-            now, wall = clock.now(), clock.wall()
-            for id in self.budgets.lapsed(now):
-                self.counters["reservation_lapsed"] += 1
-                self.log.warning("reservation_lapsed", req=id)
-            if isinstance(self.way, Leased):
-                self._read_leases()
-            elif isinstance(self.way, Following):
-                for key, node in self.budgets.nodes.items():
-                    if node.period is not None and node.limits.period in ("hour", "day", "month"):
-                        _, begin, end = calendar(node.limits.period, wall)
-                        self.way.look(key, node.period.read(wall), self.budgets.cap(node), (wall - begin) / (end - begin))
+            now = clock.now()
+            self.look(now, clock.wall())
             if self.ledger is not None and now - since > COUNTERS_EACH and not self.failing and not self.queue:
                 since = now
                 self._keep()
 
+    def look(self, now, wall):
+        """Each second or so: what nobody settled, and parts that move."""
+        for id in self.budgets.lapsed(now):
+            self.counters["reservation_lapsed"] += 1
+            self.log.warning("reservation_lapsed", req=id)
+        if isinstance(self.way, Leased):
+            self._read_leases()
+        elif isinstance(self.way, Following):
+            for key, node in self.budgets.nodes.items():
+                if node.period is not None and node.limits.period in ("hour", "day", "month"):
+                    _, begin, end = calendar(node.limits.period, wall)
+                    self.way.look(key, node.period.read(wall), self.budgets.cap(node), (wall - begin) / (end - begin))
+
     def _keep(self):
         """Counters as of the last entry, so that a start is quick; then old entries go, a slice at a time."""
         pool = gevent.get_hub().threadpool
--- a/martenrouter/lab/emulator/fronts.py
+++ b/martenrouter/lab/emulator/fronts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from martenrouter.decisions.membership import Membership
+from martenrouter.edge.books import Books
 from martenrouter.edge.desk import Desk
 from martenrouter.edge.hands import Hands
 from martenrouter.edge.handover import facts, of_one
@@ -187,6 +188,9 @@
         hands.desk = self.desk = VirtualDesk(world, lambda: world.decide(settings.seed, module, chain), hands,
                                              settings_of.us(settings.round_ms), planner)
         hands.roster = self.roster = VirtualRoster(world, hands, self.port, settings.name, settings.seed, kept_list)
+        if settings.budgets:
+            # without a ledger: a disk is no part of a day in virtual time
+            hands.books = Books(msgspec.structs.replace(settings.budgets, ledger=None), settings.name, settings.fronts, hands.counters, NoLog())
         self.conns, self.last_conn = {}, 0
 
     def start(self):
@@ -196,6 +200,8 @@
     def _look(self):
         if self.alive:
             self.hands.look_after(self.queue.now)
+            if self.hands.books is not None:
+                self.hands.books.look(self.queue.now, self.world.wall())
             self.queue.at(self.queue.now + LOOK, self._look)
 
     def connect(self, end):
--- a/martenrouter/lab/emulator/runs.py
+++ b/martenrouter/lab/emulator/runs.py
@@ -36,9 +36,17 @@
     reqs = sum(row[6] == 0 for row in tries)
     good = sum(row[3] == "done" and row[1] is not None and row[1] - row[0] <= targets[row[4]] for row in tries)
 
+    customers = {}
+    for row in tries:
+        if len(row) > 7 and row[7] is not None:
+            held = customers.setdefault(row[7], [0, 0])
+            held[0] += row[6] == 0
+            held[1] += row[3] == "done" and row[1] is not None and row[1] - row[0] <= targets[row[4]]
+
     def at(part):
         return firsts[min(int(len(firsts) * part), len(firsts) - 1)] / 1000 if firsts else None
     return {"reqs": reqs, "tries": len(tries), "endings": dict(sorted(endings.items())), "service": good / max(reqs, 1),
+            "customers": {name: round(done / max(asked, 1), 4) for name, (asked, done) in sorted(customers.items())},
             "first token ms": {"p50": at(0.5), "p90": at(0.9), "p99": at(0.99)}}
 
 
--- a/martenrouter/lab/emulator/world.py
+++ b/martenrouter/lab/emulator/world.py
@@ -27,7 +27,7 @@
     """What came of a day, one row a try: what reports and comparisons are made of. Times in microseconds of the day."""
 
     def __init__(self):
-        self.tries = []   # [asked, first token or None, ended, ending, group, front, attempt]
+        self.tries = []   # [asked, first token or None, ended, ending, group, front, attempt, customer]
         self.loads = []   # (time, [(engine, reqs held, share of memory held)]), each second
         self.links = []   # (time, [(cell and way, prompt tokens out on it over all fronts)]), each second
         self.deciders = []  # (time, fronts decided by their planner, fronts decided by their edge), each second
@@ -114,7 +114,8 @@
 
     def asked(self, ask):
         self.day.open[ask.trace] = len(self.day.tries)
-        self.day.tries.append([self.queue.now - self.start, None, None, "open", ask.group["name"], ask.front, ask.attempt])
+        self.day.tries.append([self.queue.now - self.start, None, None, "open", ask.group["name"], ask.front, ask.attempt,
+                               ask.arrival.customer])
 
     def answered(self, ask, answer):
         at = self.day.open.pop(ask.trace, None)
--- a/martenrouter/lab/report.py
+++ b/martenrouter/lab/report.py
@@ -32,7 +32,7 @@
     """[(asked, done in time, first tokens in ms)] for each second of the day, by the time of asking."""
     seconds = int(max((row[0] for row in run.tries), default=0) // STEP) + 1
     told = [[0, 0, []] for _ in range(seconds)]
-    for asked, first, ended, ending, group, front, attempt in run.tries:
+    for asked, first, ended, ending, group, *_ in run.tries:
         at = told[asked // STEP]
         at[0] += 1
         if first is not None:
