A gate before the module: customers take turns when the fleet is short

Change: with budgets, beyond 24 unread reqs arrivals stand in decisions/gate.py in the order of start-time fair queueing, go on as the module has room, and are pushed back after half of their response target or before their deadline. Without budgets nothing changes.

--- a/bench/greedy.py
+++ b/bench/greedy.py
@@ -17,15 +17,15 @@
 def day(seed, budgets):
     drawn = catalogue.draw(seed, "medium", seconds=10, load=0.55, count=0)
     faults = [Fault(at=2, kind="greedy", length=6, value=15)]
-    return msgspec.structs.replace(drawn, name="greedy-%d" % seed, faults=faults, settings={"budgets": budgets} if budgets else {})
+    return msgspec.structs.replace(drawn, name="greedy-%d" % seed, faults=faults, settings={"budgets": budgets} if budgets is not None else {})
 
 
 @click.command()
 @click.option("--seeds", default=3)
 def main(seeds):
     limits = {"rate_per_s": RATE, "burst": 2 * RATE}
-    ways = (("no limits", None), ("fixed parts", {"each_customer": limits}),
-            ("open reqs alone", {"each_customer": {"open": 120}}))
+    ways = (("no limits", None), ("shares alone", {}), ("fixed parts", {"each_customer": limits}),
+            ("open reqs", {"each_customer": {"open": 120}}))
     print("%-18s %10s %16s %16s %14s" % ("limits", "greedy", "the other nine", "worst of nine", "all"))
     for name, budgets in ways:
         rows = []
--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -18,9 +18,10 @@
 """
 from martenrouter.decisions.admission import Admission
 from martenrouter.decisions.conversations import Conversations, leg_id, req_of
+from martenrouter.decisions.gate import Gate
 from martenrouter.decisions.learnt import export, put
 from martenrouter.decisions.streams import Streams
-from martenrouter.rules import Front
+from martenrouter.rules import UNREAD, Front
 
 OF_A_REQ = frozenset("first_token outcome gone swamped call changed step tool".split())  # calls that begin with an id
 STREAM_LOOK = 200_000  # stalls are judged in seconds; looking each fifth of one is early enough
@@ -32,6 +33,7 @@
         self.admission, self.streams = Admission(settings), Streams(settings)
         self.talks = Conversations(settings)
         self.settings, self.groups = settings, settings["groups"]
+        self.gate = Gate(settings["shares"]) if settings.get("shares") else None
         self.whole = {}      # open req -> (group, deadline of the whole answer)
         self._ended_before, self._swamped_before, self._orphans = [], [], []
         self.pending = set()  # open reqs of a decider before this one, of which the facts are still to come
@@ -51,6 +53,8 @@
                 inner.append((call, arguments))
         if inner or self.front.live:
             self.front.turn(now, inner, _Reasons(self))
+        if self.gate is not None and self.gate:
+            self._look_at_gate()
         for talk in self.talks.adopted_ready():
             self._go_on(talk)
         self._end_adopted()
@@ -166,9 +170,26 @@
             return False
         self.whole[id] = group, deadline
         self.talks.begun(self.now, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags)
-        inner.append(("arrived", self._told(self.talks.talks[id], id)))
+        if self.gate is not None and self.gate.closed(self._unread() + len(inner)):
+            g = self.groups.get(group, {})
+            # answered in time also where its deadline comes first
+            until = min(self.now + int(g.get("target", 0) * self.gate.PART), deadline - 2 * self.settings["round"] - 2000)
+            self.gate.put(id, customer, prompt + max_out / 4, g.get("importance", 1), until)
+        else:
+            inner.append(("arrived", self._told(self.talks.talks[id], id)))
         return False
 
+    def _unread(self):
+        return sum(r.stage == UNREAD for r in self.front.live.values())
+
+    def _look_at_gate(self):
+        """Reqs go on to the module as it has room, and those that waited too long are pushed back."""
+        for id in self.gate.due(self.now):
+            target = self.groups.get(self.whole[id][0], {}).get("target", 0)
+            self._give_up(id, (True, "others' turn", min(target // 2, self.settings["advice_cap"])))
+        for id in self.gate.released(self._unread()):
+            self.next_legs.append(("arrived", self._told(self.talks.talks[id], id)))
+
     def _told(self, talk, leg):
         """What the module is told of a leg: its deadline is that of the first token."""
         first = self.now + self.groups[talk.group]["first_token_within"]
@@ -299,6 +320,8 @@
 
     def _closed(self, id):
         id = req_of(id)
+        if self.gate is not None:
+            self.gate.leave(id)
         self.whole.pop(id, None)
         self.talks.ended(id)
         self.admission.ended_one(self.now, id)
@@ -402,7 +425,8 @@
         self.stop_by = self.stop_by if self.whole or self.pending else None
 
     def _set_wake(self):
-        times = [time for time in (self.stop_by, self.stream_due, self.talks.soonest) if time is not None]
+        gate = self.gate.next_due() if self.gate is not None else None
+        times = [time for time in (self.stop_by, self.stream_due, self.talks.soonest, gate) if time is not None]
         if not times:
             return
         due = max(min(times), self.now + 1)
--- a/martenrouter/settings/front.py
+++ b/martenrouter/settings/front.py
@@ -230,6 +230,12 @@
     }
 
 
+def _shares(budgets):
+    """Customer -> share, None -> that of all others."""
+    others = budgets.each_customer.share if budgets.each_customer else 1.0
+    return {None: others, **{name: limits.share for name, limits in budgets.customers.items()}}
+
+
 def for_chain(settings):
     """What the choices around the module need: limits and groups by name, in microseconds and bytes."""
     limits = settings.limits
@@ -239,6 +245,7 @@
         "round": us(settings.round_ms), "release_within": us(limits.release_within_ms), "pauses": limits.pauses,
         "pauses_a_customer": limits.pauses_a_customer, "tool_steps": limits.tool_steps,
         "tool_call_within": us(limits.tool_call_within_ms),
+        "shares": _shares(settings.budgets) if settings.budgets else None,
         "groups": {g.name: {"effect": g.effect, "repeat_scope": g.repeat_scope, "target": us(g.target_ms),
                             "importance": g.importance, "token_target": us(g.token_target_ms),
                             "first_token_within": us(g.first_token_within_ms)} for g in settings.groups},
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -10,10 +10,14 @@
 
 from martenrouter.decisions import periods
 from martenrouter.decisions.budgets import ROOT, Budgets, Limits
+from martenrouter.decisions.chain import Chain
 from martenrouter.decisions.heavy import Heavy
 from martenrouter.decisions.parts import Following, Leased, fixed
 from martenrouter.decisions.sharing import Sharing
 from martenrouter.decisions.wheel import Wheel
+from martenrouter.settings import front as settings_of
+from martenrouter.wire import channel
+from tests.helpers import Seen, row
 
 WALL = 1_764_600_000_000_000  # 2025-12-01 14:40 UTC
 LAPSE = 60_000_000
@@ -337,6 +341,76 @@
         self.assertEqual((len(sharing), sharing.next()[0], sharing.next()[0], sharing.next()), (2, 1, 2, None))
 
 
+class Gates(unittest.TestCase):
+    """The chain with a fleet that is short: one reader whose queue is long, so that reqs stay unread."""
+
+    def chain(self, budgets=None, **group):
+        told = settings_of.check({"groups": [{"name": "chat", "target_ms": 2000, **group}], "budgets": {} if budgets is None else budgets,
+                                  "kinds": [{"name": "rd", "role": "read", "memory_tokens": 10**6},
+                                            {"name": "wr", "role": "write", "memory_tokens": 10**6}]}, "t")
+        chain, out = Chain(1, settings_of.for_module(told), settings_of.for_chain(told)), Seen()
+        chain.turn(1_000_000, [("listed", (1, "first", [row("r1", "rd"), row("w1", "wr")]))], out)
+        return chain, out
+
+    def ask(self, chain, out, now, id, customer, deadline=60_000_000):
+        chain.turn(now, [("arrived", (id, "chat", customer, None, now + deadline, None, None, 20_000, 0, 64, 0, 1))], out)
+
+    def test_beyond_a_few_unread_reqs_customers_take_turns(self):
+        chain, out = self.chain()
+        now = 1_100_000
+        for i in range(100):
+            now += 100
+            self.ask(chain, out, now, i, "greedy")
+        for i in range(100, 110):
+            now += 100
+            self.ask(chain, out, now, i, "small")
+        waiting = len(chain.gate)
+        self.assertGreater(waiting, 60)
+        self.assertLessEqual(sum(r.stage == 0 for r in chain.front.live.values()), chain.gate.LIMIT)
+        gone_on = []
+        for step in range(16):
+            before = set(chain.front.reqs)
+            unread = next(id for id, r in chain.front.live.items() if r.stage == 0)
+            now += 1000
+            chain.turn(now, [("gone", (unread,))], out)
+            gone_on += [id for id in chain.front.reqs if id not in before]
+        self.assertTrue(5 <= sum(id >= 100 for id in gone_on) <= 11, gone_on)
+
+    def test_what_waited_too_long_is_pushed_back_with_a_time_before_its_deadline(self):
+        chain, out = self.chain()
+        for i in range(60):
+            self.ask(chain, out, 1_100_000 + i, i, "a", 60_000_000 if i % 2 else 300_000)
+        out.clear()
+        waiting = dict(chain.gate.until)
+        for now in range(1_110_000, 2_300_000, 20_000):
+            chain.turn(now, [("look", ())], out)
+            self.assertTrue(all(until > now for until in chain.gate.until.values()))
+        told = {told[0]: told for told in out.all("push_back") if told[2] == "others' turn"}
+        self.assertTrue(told and set(told) <= set(waiting))
+        self.assertTrue(all(wait > 0 for _, wait, _ in told.values()))
+        self.assertFalse(any(id in chain.whole for id in told))
+
+    def test_one_that_left_and_a_stop_leave_nothing_behind(self):
+        chain, out = self.chain()
+        for i in range(60):
+            self.ask(chain, out, 1_100_000 + i, i, "a")
+        left = sorted(chain.gate.until)[:5]
+        chain.turn(1_200_000, [("gone", (id,)) for id in left], out)
+        self.assertFalse(set(left) & set(chain.gate.until))
+        chain.turn(1_210_000, [("stop", ())], out)
+        for now in range(1_220_000, 12_000_000, 100_000):
+            chain.turn(now, [("look", ())], out)
+        self.assertEqual((len(chain.gate), chain.whole, chain.admission.open), (0, {}, {}))
+
+    def test_without_budgets_there_is_no_gate_and_a_planner_gets_its_shares(self):
+        told = settings_of.check({}, "t")
+        self.assertIsNone(Chain(1, settings_of.for_module(told), settings_of.for_chain(told)).gate)
+        budgets = {"each_customer": {"share": 2}, "customers": {"a": {"share": 5}}}
+        told = settings_of.for_chain(settings_of.check({"budgets": budgets}, "t"))
+        welcome, = channel.Frames().feed(channel.encode(channel.Welcome(1, "f", 1, {}, told)))
+        self.assertEqual(welcome.chain["shares"], {None: 2.0, "a": 5.0})
+
+
 class Parts(unittest.TestCase):
     @given(st.lists(st.lists(st.floats(0, 2), min_size=4, max_size=4), max_size=60))
     @settings(max_examples=60, deadline=None)
