--- a/martenrouter/edge/books.py
+++ b/martenrouter/edge/books.py
@@ -278,15 +278,20 @@
 
     def _keep(self):
         """Counters as of the last entry, so that a start is quick; then old entries go, a slice at a time."""
-        pool = gevent.get_hub().threadpool
+        # exported and numbered without a switch in between: what it holds is what is booked
+        told = (self.budgets.export(), self.ledger.last) if not self.queue else None
+        why = gevent.get_hub().threadpool.apply(self._keep_apart, (told,))
+        if why is not None:
+            self.log.warning("counters_not_kept", why=str(why))
+
+    def _keep_apart(self, told):
+        """Runs in a thread; what went wrong, or None."""
         try:
-            if not self.queue:
-                # exported and numbered without a switch in between: what it holds is what is booked
-                told, at = self.budgets.export(), self.ledger.last
-                pool.apply(self.ledger.keep_counters, (told, at))
-            pool.apply(self.ledger.compact, (EXPORTED_KEPT,))
+            if told is not None:
+                self.ledger.keep_counters(*told)
+            self.ledger.compact(EXPORTED_KEPT)
         except Unusable as why:
-            self.log.warning("counters_not_kept", why=str(why))
+            return why
 
     def status(self):
         return {"heavy": [[name, round(most, 3)] for name, most, _ in self.heavy.top(10)], "house": dict(self.budgets.house), "refused": dict(self.budgets.refused), "open": len(self.budgets.open),
