--- a/bench/conversations.py
+++ b/bench/conversations.py
@@ -5,9 +5,7 @@
 All engines are stand-ins; all processes share one machine. The share is of conversations done within four seconds.
 """
 import os
-import shutil
 import sys
-import tempfile
 
 import click
 import gevent
@@ -15,9 +13,8 @@
 
 from bench.front import Fleet
 from martenrouter.edge.client import Client
-from martenrouter.lab.rehearse import Rehearsal
+from martenrouter.lab.rehearse import played
 from martenrouter.lab.scenario import Scenario
-from martenrouter.state import records
 
 TARGET = 4_000_000  # microseconds from asking to the final answer; undisturbed, nearly all take under two
 WAYS = ("as_built", "holds_to_its_writer", "always_anew")
@@ -32,14 +29,7 @@
 
 
 def play(way, hung, tool_ms, seed):
-    directory = tempfile.mkdtemp()
-    rehearsal = Rehearsal(day(hung, tool_ms), seed, directory, front_command=[sys.executable, "-m", "bench.fronts", way])
-    try:
-        rehearsal.play()
-        told = records.read(directory)
-    finally:
-        shutil.rmtree(rehearsal.logs, ignore_errors=True)
-        shutil.rmtree(directory, ignore_errors=True)
+    told = played(day(hung, tool_ms), seed, [sys.executable, "-m", "bench.fronts", way])
     asked = {record["trace"]: record["t"] for record in told if record["ev"] == "req_out" and record["who"] == "clients"}
     done = [record["t"] - asked[record["trace"]] for record in told if record["ev"] == "final_in" and record["ending"] == "done"]
     read = sum(record["read"] for record in told if record["ev"] == "held")
--- a/bench/load.py
+++ b/bench/load.py
@@ -7,12 +7,12 @@
 import sys
 
 import gevent
-from gevent import socket
 from hdrh.histogram import HdrHistogram
 
 from martenrouter.edge import clock
 from martenrouter.edge.client import Client
-from martenrouter.wire import engine, http
+from martenrouter.lab.load import Straight
+from martenrouter.wire import engine
 
 
 class Figures:
@@ -48,28 +48,7 @@
 
     def __init__(self, told, figures):
         self.readers, self.writers, self.figures = told["readers"], told["writers"], figures
-        self.idle = {}
-
-    def call(self, address, data, hear):
-        kept = self.idle.setdefault(tuple(address), [])
-        sock = kept.pop() if kept else None
-        if sock is None:
-            sock = socket.create_connection(tuple(address))
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.sendall(data)
-        reader = http.ResponseReader()
-        while True:
-            came = sock.recv(65536)
-            if not came:
-                raise OSError("closed")
-            for event in reader.feed(came):
-                if event[0] == "head":
-                    status = event[1].status
-                elif event[0] == "body":
-                    hear(event[1])
-                else:
-                    kept.append(sock)
-                    return status
+        self.call = Straight().call
 
     def ask(self, i, due, prompt, max_tokens):
         messages = [{"role": "user", "content": prompt}]
--- a/bench/stall.py
+++ b/bench/stall.py
@@ -7,14 +7,12 @@
 the planner left; `pushes_back_without_planner` answers all with a pushback. Stand-in engines, one machine. Rules are judged from
 the traffic on sockets, for these ways too.
 """
-import shutil
 import sys
-import tempfile
 
 import click
 import msgspec
 
-from martenrouter.lab.rehearse import Rehearsal
+from martenrouter.lab.rehearse import played
 from martenrouter.lab.scenario import Scenario
 from martenrouter.lab.verdict import verdict
 from martenrouter.state import records
@@ -34,15 +32,8 @@
 
 def play(way, seed):
     """Figures of the reqs asked while the planners were stopped."""
-    directory = tempfile.mkdtemp()
-    rehearsal = Rehearsal(day(), seed, directory, front_command=[sys.executable, "-m", "bench.fronts", way])
-    try:
-        rehearsal.play()
-        told = records.read(directory)
-        found, _ = verdict(directory)
-    finally:
-        shutil.rmtree(rehearsal.logs, ignore_errors=True)
-        shutil.rmtree(directory, ignore_errors=True)
+    told, found = played(day(), seed, [sys.executable, "-m", "bench.fronts", way],
+                         lambda directory, _: (records.read(directory), verdict(directory)[0]))
     stop = min(record["t"] for record in told if record["ev"] == "fault" and record["kind"] == "planner_stop")
     asked = {record["trace"]: record["t"] for record in told if record["ev"] == "req_out" and record["who"] == "clients"
              and stop + 300_000 < record["t"] < stop + 8_000_000}
--- a/bench/warm.py
+++ b/bench/warm.py
@@ -5,16 +5,13 @@
 
 Stand-in engines, one machine. Counted are the reqs of the first three seconds after the front is back.
 """
-import shutil
-import tempfile
 
 import click
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from martenrouter.lab.rehearse import Rehearsal
+from martenrouter.lab.rehearse import played
 from martenrouter.lab.scenario import Scenario
-from martenrouter.state import records
 
 
 def play(store, seed):
@@ -24,14 +21,7 @@
         "traffic": {"rate": 16, "openings": 12, "opening_words": 500, "deadline_ms": 8000},
         "faults": [{"at": 0.2, "kind": "slow", "target": "rd-0-0", "length": 12.5, "value": 10},
                    {"at": 8, "kind": "front_kill", "target": "front-0", "again": 0.2}]}, Scenario)
-    directory = tempfile.mkdtemp()
-    rehearsal = Rehearsal(day, seed, directory)
-    try:
-        rehearsal.play()
-        told = records.read(directory)
-    finally:
-        shutil.rmtree(rehearsal.logs, ignore_errors=True)
-        shutil.rmtree(directory, ignore_errors=True)
+    told = played(day, seed)
     back = next(record["t"] for record in told if record["ev"] == "front_started")
     asked = {record["trace"]: record["t"] for record in told if record["ev"] == "req_out" and record["who"] == "clients"
              and back < record["t"] < back + 3_000_000}
--- a/martenrouter/lab/load.py
+++ b/martenrouter/lab/load.py
@@ -33,6 +33,39 @@
     return HdrHistogram(1, 600_000_000, 3)
 
 
+class Straight:
+    """Connections straight to engines, kept between calls."""
+
+    def __init__(self):
+        self.idle = {}
+
+    def call(self, address, data, hear):
+        kept = self.idle.setdefault(tuple(address), [])
+        sock = kept.pop() if kept else socket.create_connection(tuple(address), timeout=2)
+        sock.settimeout(60)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        clean, status, reader = False, 0, http.ResponseReader()
+        try:
+            sock.sendall(data)
+            while not clean:
+                came = sock.recv(65536)
+                if not came:
+                    raise OSError("closed in mid-answer")
+                for event in reader.feed(came):
+                    if event[0] == "head":
+                        status = event[1].status
+                    elif event[0] == "body":
+                        hear(event[1])
+                    else:
+                        clean = True
+        finally:
+            if clean:
+                kept.append(sock)
+            else:
+                sock.close()
+        return status
+
+
 class Worker:
     """One process of a run."""
 
@@ -45,7 +78,7 @@
         self.sessions = [[None] * mix.sessions for mix in self.profile.mixes]
         shared = random.Random(self.profile.seed)
         self.openings = [[self._words(shared, mix.opening_words) for _ in range(mix.openings)] for mix in self.profile.mixes]
-        self.clients, self.idle, self.turn = {}, {}, 0
+        self.clients, self.straight, self.turn = {}, Straight(), 0
 
     @staticmethod
     def _words(rnd, count):
@@ -140,39 +173,13 @@
 
     # ---- against engines: the two calls that a front would make ----
 
-    def _call(self, address, data, hear):
-        kept = self.idle.setdefault(tuple(address), [])
-        sock = kept.pop() if kept else socket.create_connection(tuple(address), timeout=2)
-        sock.settimeout(60)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        clean, status, reader = False, 0, http.ResponseReader()
-        try:
-            sock.sendall(data)
-            while not clean:
-                came = sock.recv(65536)
-                if not came:
-                    raise OSError("closed in mid-answer")
-                for event in reader.feed(came):
-                    if event[0] == "head":
-                        status = event[1].status
-                    elif event[0] == "body":
-                        hear(event[1])
-                    else:
-                        clean = True
-        finally:
-            if clean:
-                kept.append(sock)
-            else:
-                sock.close()
-        return status
-
     def _engines(self, mix, session, messages, tokens):
         self.turn += 1
         reader = self.told["readers"][self.turn % len(self.told["readers"])]
         writer = self.told["writers"][self.turn % len(self.told["writers"])]
         name, body = "load-%d-%d-%d" % (os.getpid(), self.told["worker"], self.turn), []
         trace = "00-%s-%s-01" % (os.urandom(16).hex(), os.urandom(8).hex())
-        status = self._call(reader, wire.read("engine", name + "r", trace, self.told["model"], messages), body.append)
+        status = self.straight.call(reader, wire.read("engine", name + "r", trace, self.told["model"], messages), body.append)
         if status != 200:
             return "status %d" % status
         state, events, index = wire.read_answer(b"".join(body)).kv_transfer_params, wire.Events(), [0]
@@ -183,7 +190,7 @@
                 if texts:
                     tokens(index[0], texts)
                     index[0] += len(texts)
-        status = self._call(writer, wire.write("engine", name + "w", trace, self.told["model"], messages, mix.max_tokens, state), hear)
+        status = self.straight.call(writer, wire.write("engine", name + "w", trace, self.told["model"], messages, mix.max_tokens, state), hear)
         return "done" if status == 200 else "status %d" % status
 
 
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -1,6 +1,7 @@
 """Plays a scenario through real fronts on loopback: list service, engines, fronts as processes, clients in this one."""
 import os
 import random
+import shutil
 import signal
 import tempfile
 import time
@@ -17,9 +18,22 @@
 from martenrouter.standins.clients import Clients
 from martenrouter.standins.clocks import watch_lag
 from martenrouter.state.ledger import Ledger, read_export
+from martenrouter.state import records
 from martenrouter.state.records import Recorder
 from martenrouter.wire import http, nodes
 
+def played(scenario, seed, front_command=None, of=lambda directory, codes: records.read(directory)):
+    """Plays a day and gives `of(its directory of records, the fronts' exit codes)`, usually the records; nothing is left of it."""
+    directory = tempfile.mkdtemp(prefix="records-")
+    rehearsal = Rehearsal(scenario, seed, directory, front_command=front_command)
+    try:
+        codes = rehearsal.play()
+        return of(directory, codes)
+    finally:
+        shutil.rmtree(rehearsal.logs, ignore_errors=True)
+        shutil.rmtree(directory, ignore_errors=True)
+
+
 class Rehearsal:
     def __init__(self, scenario, seed, records, speed=1.0, say=lambda text: None, front_command=None):
         """`records`: an empty directory; `say` takes lines of progress; `front_command` replaces the front's program."""
--- a/martenrouter/lab/twice.py
+++ b/martenrouter/lab/twice.py
@@ -3,11 +3,9 @@
 On sockets a machine is in the way: turns between processes take time that the emulator has none of, so first tokens are compared as a
 ratio with room, shares and counts closely.
 """
-import shutil
-import tempfile
 
 from martenrouter.lab.emulator.runs import play
-from martenrouter.lab.rehearse import Rehearsal
+from martenrouter.lab.rehearse import played
 from martenrouter.lab.verdict import verdict
 
 # how far apart the two may be: shares as a difference, the others as a ratio either way. From ten days of eight to twenty-two
@@ -18,14 +16,7 @@
 
 
 def on_sockets(scenario, seed):
-    directory = tempfile.mkdtemp()
-    rehearsal = Rehearsal(scenario, seed, directory)
-    try:
-        codes = rehearsal.play()
-        return verdict(directory, scenario.expect, codes)[0]
-    finally:
-        shutil.rmtree(rehearsal.logs, ignore_errors=True)
-        shutil.rmtree(directory, ignore_errors=True)
+    return played(scenario, seed, of=lambda directory, codes: verdict(directory, scenario.expect, codes)[0])
 
 
 def figures(told):
--- a/martenrouter/state/ledger.py
+++ b/martenrouter/state/ledger.py
@@ -80,12 +80,8 @@
         their identities."""
         left = []
         with self._env.begin() as txn:
-            cursor = txn.cursor()
-            if cursor.set_range(b"o"):
-                for key, value in cursor:
-                    if not key.startswith(b"o"):
-                        break
-                    left.append((key[1:].decode(), _unpack(value) or {}))
+            for key, value in _under(txn, b"o"):
+                left.append((key[1:].decode(), _unpack(value) or {}))
         if left:
             self.append([make(identity, fields) for identity, fields in left], ended=[identity for identity, _ in left])
         return [identity for identity, _ in left]
@@ -171,19 +167,15 @@
         whole, torn, seen = 0, [], 0
         missing = []
         with self._env.begin() as txn:
-            cursor = txn.cursor()
-            if cursor.set_range(b"e"):
-                for key, value in cursor:
-                    if not key.startswith(b"e"):
-                        break
-                    number = int.from_bytes(key[1:], "big")
-                    if number != seen + 1 and seen:
-                        missing.append((seen + 1, number - 1))
-                    seen = number
-                    if _unpack(value) is None:
-                        torn.append(number)
-                    else:
-                        whole += 1
+            for key, value in _under(txn, b"e"):
+                number = int.from_bytes(key[1:], "big")
+                if number != seen + 1 and seen:
+                    missing.append((seen + 1, number - 1))
+                seen = number
+                if _unpack(value) is None:
+                    torn.append(number)
+                else:
+                    whole += 1
             first = self._compacted(txn)
             if seen < self.last:
                 missing.append((seen + 1, self.last))
@@ -276,6 +268,16 @@
         return last - first + 1
 
 
+def _under(txn, prefix):
+    """(key, value) of all keys that begin so, in order."""
+    cursor = txn.cursor()
+    if cursor.set_range(prefix):
+        for key, value in cursor:
+            if not key.startswith(prefix):
+                return
+            yield key, value
+
+
 def _number(prefix, number):
     return prefix + number.to_bytes(8, "big")
 
