--- a/martenrouter/cli/main.py
+++ b/martenrouter/cli/main.py
@@ -3,15 +3,13 @@
 
 import click
 
-from martenrouter.settings.load import BadSettings
-from martenrouter.state.records import BadRecord
-
 
 class Group(click.Group):
     """Sub-commands are imported when they are called: an engine doesn't load what a judge needs."""
 
     WHERE = {"edge": "edge", "standin": "standin", "ask": "ask", "config": "config", "rehearse": "rehearse",
-             "judge": "judge", "lab": "lab", "ledger": "ledger", "load": "load", "planner": "planner", "front": "front"}
+             "judge": "judge", "lab": "lab", "ledger": "ledger", "load": "load", "planner": "planner", "front": "front",
+             "node": "node"}
 
     def list_commands(self, ctx):
         return sorted(self.WHERE)
@@ -36,9 +34,18 @@
     except click.ClickException as why:
         why.show()
         sys.exit(why.exit_code)
-    except (BadSettings, BadRecord) as why:
-        click.echo("martenrouter: %s" % why, err=True)
-        sys.exit(2)
     except OSError as why:
         click.echo("martenrouter: %s" % why, err=True)
         sys.exit(1)
+    except Exception as why:
+        if not _is_bad_input(why):
+            raise
+        click.echo("martenrouter: %s" % why, err=True)
+        sys.exit(2)
+
+
+def _is_bad_input(why):
+    """Asked only when something failed: a front node doesn't load Jsonnet for it."""
+    from martenrouter.settings.load import BadSettings
+    from martenrouter.state.records import BadRecord
+    return isinstance(why, (BadSettings, BadRecord))
--- a/martenrouter/decisions/connections.py
+++ b/martenrouter/decisions/connections.py
@@ -9,16 +9,17 @@
 class Connections:
     IDLE = 4_000_000  # engines in the field close idle connections after 5 s and more
 
-    def __init__(self, most):
-        self.most, self.idle = most, {}  # engine -> [(since, connection)], oldest first
+    def __init__(self, most, idle=IDLE):
+        """`idle`: microseconds an unused one is kept, where the engines' own limit is known."""
+        self.most, self.within, self.idle = most, idle, {}  # engine -> [(since, connection)], oldest first
 
     def take(self, now, engine):
         """(connection or None, those to be closed)."""
         kept = self.idle.get(engine)
         if not kept:
             return None, ()
-        fresh = [pair for pair in kept if now - pair[0] < self.IDLE]
-        closing = [pair[1] for pair in kept if now - pair[0] >= self.IDLE]
+        fresh = [pair for pair in kept if now - pair[0] < self.within]
+        closing = [pair[1] for pair in kept if now - pair[0] >= self.within]
         connection = fresh.pop()[1] if fresh else None
         if fresh:
             self.idle[engine] = fresh
@@ -40,7 +41,7 @@
         closing = []
         for engine in list(self.idle):
             kept = self.idle[engine]
-            while kept and now - kept[0][0] >= self.IDLE:
+            while kept and now - kept[0][0] >= self.within:
                 closing.append(kept.pop(0)[1])
             if not kept:
                 del self.idle[engine]
--- a/martenrouter/drill/codec.py
+++ b/martenrouter/drill/codec.py
@@ -1,4 +1,6 @@
 """The simulator's text wire: lines in, calls of the decision module out, and back. Renames, decides nothing."""
+from martenrouter.settings import told
+from martenrouter.settings.told import number
 
 
 class BadLine(Exception):
@@ -23,15 +25,8 @@
     return None if text in ("-", "0") else _word(text)
 
 
-def _number(text):
-    value = float(text)
-    if value != value or value in (float("inf"), float("-inf")):
-        raise ValueError("not a finite number")
-    return value
-
-
 def _opt_number(text):
-    return 0.0 if text == "-" else _number(text)
+    return 0.0 if text == "-" else number(text)
 
 
 def _flag(text):
@@ -50,7 +45,7 @@
     load = {}
     for part in text.split(","):
         name, _, value = part.partition(":")
-        load[LOADS.get(name, name)] = _number(value)
+        load[LOADS.get(name, name)] = number(value)
     return load
 
 
@@ -94,66 +89,12 @@
         raise BadLine("%s has an unreadable value: %s" % (name, why))
 
 
-# wire path of a setting -> our name; other paths keep theirs, and the module passes them over
-NAMES = {
-    "az": "zone", "zones": "zones", "skus": "kinds", "peers-total": "fronts", "self-index": "front_index",
-    "tick-us": "round", "discovery": "discovery", "over-share-worth": "over_share_importance",
-    "weight-source": "weight_meaning", "worth-by": "importance_by", "stats.fields": "load_names",
-    "stats.via": "load_via",
-    "family-info.aim-us-per-1000-prompt-tokens": "target_per_1000_prompt", "family-info.far-price": "far_price",
-    "family-info.holds-allowed": "may_hold", "family-info.local-read": "writers_read",
-    "family-info.memory-tokens": "memory_by_kind", "family-info.pin-limit-us": "release_within",
-    "family-info.resume": "streams_resume", "family-info.role-by-kind": "role_by_kind",
-    "family-info.token-aim-us": "token_target",
-    "policy-limits.attempts-cap": "forwards_cap", "policy-limits.cancelling": "may_cancel",
-    "policy-limits.probes": "may_probe", "policy-limits.second-copies": "may_copy",
-    "policy-limits.retry-after": "may_advise", "policy-limits.max-retry-after-us": "advice_cap",
-    "policy-limits.peers": "may_tell", "policy-limits.connect-timeout-us": "connect_within",
-    "rules.cold-share": "cold_share", "rules.warm-up-us": "warm_within", "rules.fall-multiple": "cold_multiple",
-    "rules.tip-after-us": "cold_window", "rules.stop-sending-within-us": "drain_within",
-    "rules.must-ask-in-us": "ask_within", "rules.grace-to-answer-us": "answer_slack",
-}
-ITEMS = {"grades": "groups", "customers": "customers"}
-FIELDS = {"deadline-us": "deadline", "goal-time-us": "target", "effect": "effect", "group": "repeat_scope",
-          "window-us": "repeat_window", "importance": "importance", "late-worth": "late_importance",
-          "aim-stretch": "target_stretch", "quota-rps": "quota_per_s"}
-EFFECTS = {"free": "replayable", "guarded": "keyed", "single_shot": "non-replayable"}
-LISTS = {"zones", "kinds", "load_names", "target_per_1000_prompt", "memory_by_kind", "role_by_kind", "token_target"}
-
-
-def _plain(text):
-    if text in ("true", "false"):
-        return text == "true"
-    for kind in (int, _number):
-        try:
-            return kind(text)
-        except ValueError:
-            pass
-    return text
-
-
 def settings(parts):
     """The settings of an `up` line as a plain map in our words."""
-    told = {ours: [] for ours in ITEMS.values()}
-    for part in parts:
-        path, sign, text = part.partition("=")
-        if not sign:
-            raise BadLine("up has a setting without a value: %s" % path)
-        head, _, rest = path.partition(".")
-        index, _, field = rest.partition(".")
-        if head in ITEMS and index.isdigit():
-            items = told[ITEMS[head]]
-            while len(items) <= int(index) < 10000:
-                items.append({})
-            value = EFFECTS.get(text, text) if field == "effect" else text if field == "name" else _plain(text)
-            items[int(index)][FIELDS.get(field, field)] = value
-        elif head not in ITEMS:
-            ours = NAMES.get(path, path)
-            if ours in LISTS:
-                told[ours] = [_plain(item) for item in text.split(",")] if text else []
-            else:
-                told[ours] = _plain(text)
-    return told
+    try:
+        return told.from_pairs(parts)
+    except told.Unreadable as why:
+        raise BadLine(str(why))
 
 
 class Writer:
--- a/martenrouter/edge/desk.py
+++ b/martenrouter/edge/desk.py
@@ -1,19 +1,17 @@
 """The desk: an inbox, one round at a time, decisions into a writer (the hands). Whoever decides, the interface is the same:
 the edge's own chain in this process, or a planner at the other end of a channel.
 
-Greenlets post what they saw and never decide. A round takes all that came in, in the order it came; rounds lie at least
-`round` microseconds apart, so that under load many events share the cost of one. While a planner has a round, what comes in
-waits for the next one; when the planner is silent for too long, the edge rebuilds its own chain from its facts and goes on.
+Rounds are those of edge/rounds.py. While a planner has a round, what comes in waits for the next one; when the planner is silent for too long, the edge rebuilds its own chain from its facts and goes on.
 """
 import traceback
 
 import gevent
-from gevent.event import AsyncResult, Event
+from gevent.event import AsyncResult
 from hdrh.histogram import HdrHistogram
 
 from martenrouter.decisions.takeover import Takeover
 from martenrouter.edge import clock
-from martenrouter.edge.timers import Timers
+from martenrouter.edge.rounds import Rounds
 from martenrouter.wire.channel import Handover, Round
 
 DECISIONS = frozenset("forward push_back abort cancel let_go wake wake_chain subscribe end_stream call_tool fail_call "
@@ -21,55 +19,30 @@
 CHAIN, BEAT = -1, -2  # marks of the chain's own wake-ups and of beats; the module's marks start at 1
 
 
-class Desk:
+class Desk(Rounds):
     def __init__(self, make_chain, hands, facts, of_one, round_us, counters, log):
         """`make_chain()` gives an empty decisions.chain.Chain; `facts()` all that one is rebuilt from, `of_one(id)` what
         follows later of a req (edge/handover.py)."""
+        super().__init__(round_us)
         self.make_chain, self.hands, self.facts, self.of_one = make_chain, hands, facts, of_one
         self.later = []          # reqs that the decider has still to be told of
-        self.round, self.counters, self.log = round_us, counters, log
+        self.counters, self.log = counters, log
         self.chain = make_chain()
         self.takeover, self.link, self.waiting = Takeover(), None, None
         self.newcomer, self.learnt, self.seq = None, None, 0
-        self.inbox, self.timers, self.came = [], Timers(), Event()
         self.flow = {}           # req -> tokens since the last round: told along, never a reason for a round
-        self.rounds = self.faults = 0
         self.cost = HdrHistogram(1, 60_000_000, 3)  # microseconds a round
-        self.greenlet = None
 
     def who(self):
         return "planner" if self.takeover.in_charge else "edge"
 
-    def post(self, call, *arguments):
-        self.inbox.append((call, arguments))
-        self.came.set()
-
-    def wake(self, mark, after):
-        self.timers.add(clock.now() + after, mark)
-
-    def start(self):
-        self.greenlet = gevent.spawn(self._run)
-
-    def _run(self):
-        last = 0
-        while True:
-            if not self.inbox:
-                due = self.timers.next_at()
-                self.came.wait(None if due is None else max(due - clock.now(), 0) / 1e6)
-            early = last + self.round - clock.now()
-            if early > 0:
-                gevent.sleep(early / 1e6)
-            self.came.clear()
-            last = clock.now()
-            if self.newcomer is not None:
-                self._hand_over(last)
-            marks = self.timers.due(last)
-            if self.inbox or marks:
-                self.play(last, marks)
+    def before(self, now):
+        if self.newcomer is not None:
+            self._hand_over(now)
 
     def play(self, now, marks=()):
         """One round at the time `now`."""
-        inbox, self.inbox = self.inbox, []
+        inbox = self.taken()
         for mark in marks:
             inbox.append(("timer", (mark,)) if mark > 0 else ("look", ()))
         if self.flow:
--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -6,7 +6,7 @@
 import gevent
 
 from martenrouter.edge import clock
-from martenrouter.edge.line import Line
+from martenrouter.edge.lines import Broke, Lines, Stopped
 from martenrouter.wire import engine as wire
 from martenrouter.wire import http
 
@@ -14,67 +14,11 @@
 ANSWER_LIMIT = 1024 * 1024  # bytes of an answer that is not a stream
 
 
-class Stopped(gevent.GreenletExit):
-    """The forward was cancelled or timed out; its end has been said already."""
-
-
-class Broke(Exception):
-    """The connection or the answer failed; `ending` in the module's words."""
-
-    def __init__(self, ending, why):
-        super().__init__(why)
-        self.ending, self.why = ending, why
-
-
-class Engines:
+class Engines(Lines):
     def __init__(self, kept, connect_within, model, record, counters, log):
         """`kept`: decisions.connections.Connections; `connect_within` in microseconds."""
-        self.kept, self.connect_within, self.model = kept, connect_within / 1e6, model
-        self.record, self.counters, self.log = record, counters, log
-        self.addresses = {}  # engine -> (host, port)
-        self.left = {}       # of engines that left the list: what is still held there is let go, nothing else is sent
-
-    def moved(self, changed):
-        """News of addresses; connections to a process that left are closed."""
-        for id, told in changed.items():
-            host, _, port = (told or "").rpartition(":")
-            address = (host, int(port)) if told else None
-            if self.addresses.get(id) != address:
-                self._close(self.kept.forget(id))
-            if address:
-                self.addresses[id] = address
-                self.left.pop(id, None)
-            elif id in self.addresses:
-                self.left[id] = self.addresses.pop(id)
-                while len(self.left) > 1000:
-                    del self.left[next(iter(self.left))]
-
-    def sweep(self):
-        self._close(self.kept.sweep(clock.now()))
-
-    def _close(self, connections):
-        for connection in connections:
-            connection.close()
-
-    def _connect(self, engine, also_left=False):
-        while True:
-            connection, closing = self.kept.take(clock.now(), engine)
-            self._close(closing)
-            if connection is None:
-                break
-            if connection.quiet():
-                self.counters["connection_reused"] += 1
-                return connection
-            connection.close()  # the engine closed it, or sent what nobody asked for
-        address = self.addresses.get(engine) or also_left and self.left.get(engine)
-        if not address:
-            raise Broke("unreachable", "no address")
-        try:
-            connection = Line(address, self.connect_within)
-        except OSError as why:
-            raise Broke("unreachable", str(why)) from why
-        self.counters["connection_opened"] += 1
-        return connection
+        super().__init__(kept, connect_within, counters)
+        self.model, self.record, self.log = model, record, log
 
     def start(self, forward, hear):
         forward.greenlet = gevent.spawn(self.carry, forward, hear)
--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -10,9 +10,10 @@
 
 
 class Line:
-    def __init__(self, address, within):
-        """Raises OSError when there is no connection within `within` seconds."""
-        made = gevent_socket.create_connection(address, timeout=within)
+    def __init__(self, address, within, made=None):
+        """Raises OSError when there is no connection within `within` seconds. `made`: a gevent socket that is connected
+        already, such as an accepted one."""
+        made = made or gevent_socket.create_connection(address, timeout=within)
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = socket.socket(fileno=made.detach())
         self._sock.setblocking(False)
@@ -40,6 +41,20 @@
                 finally:
                     room.close()
 
+    def send_now(self, data):
+        """Sends what goes out without waiting; returns the rest. Raises OSError."""
+        try:
+            return data[self._sock.send(data):]
+        except BlockingIOError:
+            return data
+
+    def shut(self, how):
+        """Ends one direction or both (socket.SHUT_WR, SHUT_RDWR): who waits in recv sees the end."""
+        try:
+            self._sock.shutdown(how)
+        except OSError:
+            pass  # the peer was faster
+
     def quiet(self):
         """Whether an idle connection has neither been closed by its peer nor sent anything."""
         try:
@@ -51,5 +66,6 @@
             return False
 
     def close(self):
+        self._came.stop()
         self._came.close()
         self._sock.close()
--- /dev/null
+++ b/martenrouter/edge/lines.py
@@ -0,0 +1,70 @@
+"""Connections to engines by the engines' ids: kept ones first, new ones within a bound, none to what left.
+
+A connection that its engine closed, or on which it sent what nobody asked for, is not used again.
+"""
+import gevent
+
+from martenrouter.edge import clock
+from martenrouter.edge.line import Line
+
+
+class Stopped(gevent.GreenletExit):
+    """The forward was cancelled or timed out; its end has been said already."""
+
+
+class Broke(Exception):
+    """The connection or the answer failed; `ending` in the module's words."""
+
+    def __init__(self, ending, why):
+        super().__init__(why)
+        self.ending, self.why = ending, why
+
+
+class Lines:
+    def __init__(self, kept, connect_within, counters):
+        """`kept`: decisions.connections.Connections; `connect_within` in microseconds."""
+        self.kept, self.connect_within, self.counters = kept, connect_within / 1e6, counters
+        self.addresses = {}  # engine -> (host, port)
+        self.left = {}       # of engines that left the list: what is still held there is let go, nothing else is sent
+
+    def moved(self, changed):
+        """News of addresses; connections to a process that left are closed."""
+        for id, told in changed.items():
+            host, _, port = (told or "").rpartition(":")
+            address = (host, int(port)) if told else None
+            if self.addresses.get(id) != address:
+                self._close(self.kept.forget(id))
+            if address:
+                self.addresses[id] = address
+                self.left.pop(id, None)
+            elif id in self.addresses:
+                self.left[id] = self.addresses.pop(id)
+                while len(self.left) > 1000:
+                    del self.left[next(iter(self.left))]
+
+    def sweep(self):
+        self._close(self.kept.sweep(clock.now()))
+
+    def _close(self, connections):
+        for connection in connections:
+            connection.close()
+
+    def _connect(self, engine, also_left=False):
+        while True:
+            connection, closing = self.kept.take(clock.now(), engine)
+            self._close(closing)
+            if connection is None:
+                break
+            if connection.quiet():
+                self.counters["connection_reused"] += 1
+                return connection
+            connection.close()  # the engine closed it, or sent what nobody asked for
+        address = self.addresses.get(engine) or also_left and self.left.get(engine)
+        if not address:
+            raise Broke("unreachable", "no address")
+        try:
+            connection = Line(address, self.connect_within)
+        except OSError as why:
+            raise Broke("unreachable", str(why)) from why
+        self.counters["connection_opened"] += 1
+        return connection
--- /dev/null
+++ b/martenrouter/node/door.py
@@ -0,0 +1,266 @@
+"""The client door: HTTP/1.1, one req at a time on a connection, what else has come waits its turn.
+
+A greenlet reads each connection; answers are sent without waiting and what does not go out is sent by a second greenlet that
+exists only while there is something. Bad clients get an error or a close within the platform's 3 s.
+"""
+import collections
+import socket
+
+import gevent
+from gevent.server import StreamServer
+
+from martenrouter.edge import clock
+from martenrouter.edge.line import Line
+from martenrouter.wire import http
+from martenrouter.wire.platform import asks, messages
+
+CHUNK = 64 * 1024
+WHOLE_WITHIN = 2_200_000    # microseconds from a connection's start, or a req's first byte, to its last: 3 s are allowed
+IDLE_WITHIN = 12_000_000    # between reqs: clients think for some seconds; the platform allows a close after 2 s
+LINGER = 600_000            # after an error: the client reads it before a close can reset it away
+LINGER_BYTES = 4 * 1024 * 1024  # and no more than this is read and thrown away for it
+UNSENT_LIMIT = 256 * 1024   # no whole answer is larger: a client that leaves so much unread reads nothing
+UNSENT_WITHIN = 5_000_000   # the same by time: a stream's end has to reach its client in seconds
+AHEAD = 16                  # reqs that may wait on one connection behind an open one
+NEWCOMER = 300_000          # a connection's first req is on its way for so long; older silent ones are closed first
+OPEN, LAST, CLOSED = range(3)
+
+
+class Conn:
+    def __init__(self, line, door, now):
+        self.line, self.door, self.state = line, door, OPEN
+        self.reader, self.events = messages.Requests(), collections.deque()
+        self.head, self.body, self.size = None, [], 0
+        self.req, self.asked = None, 0      # the open req; how many have come
+        self.since = now                    # when it was made, its last answer ended, or its unfinished req began
+        self.begun = None                   # when the first bytes of an unfinished req came
+        self.keep, self.rest, self.writer = True, b"", None
+        self.lingers, self.thrown, self.unsent_since, self.streaming = None, 0, None, False
+
+    # ---- reading ----
+
+    def read(self):
+        """Runs in the connection's greenlet until the client closes or this side does."""
+        try:
+            while self.state != CLOSED:
+                data = self.line.recv(CHUNK)
+                if not data:
+                    return
+                if self.lingers is not None:
+                    self.thrown += len(data)
+                    if self.thrown > LINGER_BYTES:
+                        return
+                    continue
+                if self.begun is None:
+                    self.begun = clock.now()
+                self.events.extend(self.reader.feed(data))
+                self.go_on()
+                if sum(event[0] == "head" for event in self.events) > AHEAD:
+                    return
+        except OSError:
+            self.door.counters["connection_broken"] += 1
+
+    def go_on(self):
+        """Takes what has come, up to the end of the next req."""
+        while self.events and self.req is None and self.lingers is None and self.state == OPEN:
+            event = self.events.popleft()
+            if event[0] == "bad":
+                self.refuse(400, "not HTTP/1.1: " + event[1])
+            elif event[0] == "head":
+                self._head(event[1])
+            elif event[0] == "body":
+                self.size += len(event[1])
+                if self.size > messages.BODY_LIMIT:
+                    self.refuse(413, "a body over %d bytes" % messages.BODY_LIMIT)
+                else:
+                    self.body.append(event[1])
+            elif event[0] == "end":
+                self._whole()
+
+    def _head(self, head):
+        self.head, self.body, self.size, self.keep = head, [], 0, head.keep
+        if head.method == "GET" and head.path in ("/ready", "/health"):
+            return
+        try:
+            asks.check_head(head, self.door.groups)
+        except asks.BadAsk as why:
+            return self.refuse(why.status, str(why))
+        if head.headers.get("expect", "").lower() == "100-continue":
+            self.put(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _whole(self):
+        head, body, begun = self.head, b"".join(self.body), self.begun
+        self.head, self.body = None, []
+        self.begun = clock.now() if self.events or self.reader.inside else None
+        self.asked += 1
+        if head.method == "GET":
+            ready = self.door.ready() or head.path == "/health"
+            return self.answer(200 if ready else 503, "ready" if ready else "not ready")
+        try:
+            ask = asks.ask(head, body)
+        except asks.BadAsk as why:
+            return self.refuse(why.status, str(why))
+        if ask.id in self.door.hands.reqs:
+            return self.refuse(409, "a req with this X-Request-ID is open")
+        self.req = self.door.hands.arrived(self, ask, begun or clock.now())
+
+    # ---- answering ----
+
+    def answer(self, status, text, more=()):
+        """The whole answer to what was read last; the next req may follow."""
+        self.put(messages.plain(status, text, self._keeps(), more))
+        self._answered()
+
+    def refuse(self, status, text):
+        """An error to a client that is not to be understood or not to be helped; the connection ends."""
+        self.door.counters["refused_%d" % status] += 1
+        self.put(messages.plain(status, text, False))
+        self.linger()
+
+    def begin_stream(self):
+        self.streaming, self.keep = True, self._keeps()
+        self.put(messages.stream_head(self.keep))
+
+    def pass_on(self, data):
+        self.put(http.chunk(data))
+
+    def end_stream(self):
+        self.put(http.chunk(b""))
+        self.streaming = False
+        self._answered()
+
+    def cut(self):
+        """A stream that broke: its end without the last chunk."""
+        self.req = None
+        self.linger()
+
+    def _keeps(self):
+        return self.keep and not self.door.stopping
+
+    def _answered(self):
+        self.req, self.since = None, clock.now()
+        self.begun = self.since if self.begun is not None else None  # what came meanwhile begins now
+        if not self.keep or self.door.stopping:
+            self.linger()
+        elif self.events:
+            self.go_on()
+
+    # ---- sending ----
+
+    def put(self, data):
+        if self.state == CLOSED:
+            return
+        if not self.rest:
+            try:
+                data = self.line.send_now(data)
+            except OSError:
+                return self.close()
+            if not data:
+                return
+            self.unsent_since = clock.now()
+        self.rest += data
+        if len(self.rest) > UNSENT_LIMIT:
+            self.door.counters["connection_closed_unread"] += 1
+            return self.close()
+        if self.writer is None:
+            self.writer = gevent.spawn(self._write)
+
+    def _write(self):
+        try:
+            while self.rest and self.state != CLOSED:
+                data, self.rest = self.rest[:CHUNK], self.rest[CHUNK:]
+                self.line.sendall(data)
+                self.unsent_since = clock.now()
+        except OSError:
+            self.close()
+        finally:
+            self.writer = self.unsent_since = None
+            if self.lingers is not None:
+                self.line.shut(socket.SHUT_WR)
+
+    def linger(self):
+        """Nothing more is said; the client is given the time to read what was."""
+        if self.lingers is None:
+            self.lingers = clock.now()
+            self.events.clear()
+            self.head, self.body = None, []
+            if not self.rest:
+                self.line.shut(socket.SHUT_WR)
+
+    def close(self):
+        """From any greenlet: the reading one sees the end and clears up."""
+        if self.state != CLOSED:
+            self.state = CLOSED
+            self.line.shut(socket.SHUT_RDWR)
+
+
+class Door:
+    def __init__(self, listen, most, groups, hands, counters, log):
+        """`listen`: (host, port); `most`: connections that may be open; `groups`: names of endpoint groups."""
+        self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
+        self.conns, self.stopping, self.begun = {}, False, False
+        self.server = StreamServer(listen, self._accepted, backlog=1024)
+
+    def start(self):
+        """Raises OSError when the address can't be had."""
+        self.server.start()
+        self.begun = True
+
+    def ready(self):
+        return self.begun and not self.stopping
+
+    def _accepted(self, sock, _):
+        now = clock.now()
+        line = Line(None, None, made=sock)
+        conn = Conn(line, self, now)
+        if len(self.conns) >= self.most and not self._make_room(now):
+            self.counters["connection_over_bound"] += 1
+            conn.put(messages.plain(503, "too many connections", False, [("retry-after", "1")]))
+            line.close()
+            return
+        self.conns[id(conn)] = conn
+        try:
+            conn.read()
+        except Exception as why:
+            # a peer's bytes never end the process, and never leave a req behind
+            self.counters["connection_failed"] += 1
+            self.log.error("connection_failed", error="%s: %s" % (type(why).__name__, why))
+        finally:
+            conn.state = CLOSED
+            self.conns.pop(id(conn), None)
+            if conn.req is not None:
+                self.hands.client_left(conn.req)
+            if conn.writer is not None:
+                conn.writer.kill(block=False)
+            line.close()
+
+    def _make_room(self, now):
+        """Closes the connection of least use: silent from its start, then longest without a req. False if there is none."""
+        idle = [c for c in self.conns.values() if c.req is None and c.state == OPEN]
+        if not idle:
+            return False
+        worst = min(idle, key=lambda c: (c.lingers is None, c.asked > 0 or now - c.since < NEWCOMER, c.since))
+        self.counters["connection_made_room"] += 1
+        worst.close()
+        return True
+
+    def sweep(self, now):
+        for conn in list(self.conns.values()):
+            if conn.lingers is not None:
+                if now - conn.lingers > LINGER:
+                    conn.close()
+            elif conn.unsent_since is not None and now - conn.unsent_since > UNSENT_WITHIN:
+                self.counters["connection_closed_unread"] += 1
+                conn.close()
+            elif conn.req is not None or conn.state != OPEN:
+                continue
+            elif conn.begun is not None and now - (conn.begun if conn.asked else conn.since) > WHOLE_WITHIN:
+                conn.refuse(408, "a req has to come whole within %.1f s" % (WHOLE_WITHIN / 1e6))
+            elif conn.begun is None and now - conn.since > (IDLE_WITHIN if conn.asked else WHOLE_WITHIN):
+                self.counters["connection_closed_idle"] += 1
+                conn.close()
+
+    def close_idle(self):
+        for conn in list(self.conns.values()):
+            if conn.req is None and conn.lingers is None and conn.begun is None:
+                conn.close()
--- /dev/null
+++ b/martenrouter/node/engines.py
@@ -0,0 +1,172 @@
+"""Forwards to engines: a greenlet carries each over one connection and says how it ended, in the module's words.
+
+What proves that nothing ran, besides the statuses of wire/platform/answers.py: no connection, or one that broke before the
+last byte was written (unreachable), and what was never written (not sent). A connection that breaks or ends later, and bytes
+that can't be read, prove nothing (reset). Nothing is sent twice here.
+"""
+import gevent
+
+from martenrouter.edge import clock
+from martenrouter.edge.lines import Broke, Lines, Stopped
+from martenrouter.wire.platform import answers, messages
+from martenrouter.wire.platform.events import BadEvents, Events
+
+CHUNK = 64 * 1024
+LET_GO_WITHIN = 0.1   # seconds for one try, of the 300 ms in which a state has to go: another engine is tried in time
+LET_GO_TRIES = 12     # a second and more in which engines don't answer
+
+
+class Forward:
+    """`n`: its number within the req; `at`: when it was decided; `heard`: when whole bytes of an answer last came."""
+
+    def __init__(self, req, n, engine, at, until):
+        self.req, self.n, self.engine, self.at, self.until, self.heard = req, n, engine, at, until, at
+        self.greenlet, self.began, self.ended, self.written, self.load = None, False, False, False, None
+        self.half = False       # part of an event or of a chunk has come
+
+
+class Engines(Lines):
+    def __init__(self, kept, connect_within, counters, log):
+        super().__init__(kept, connect_within, counters)
+        self.log, self.out, self.letting_go = log, {}, 0
+
+    def start(self, forward, hear):
+        self.out[forward.req.id, forward.n] = forward
+        forward.greenlet = gevent.spawn(self._carry, forward, hear)
+
+    def stop(self, forward, why=Stopped):
+        """Closes a forward that is out, of which the end has been said already, unless `why` is a Broke that says it."""
+        self.out.pop((forward.req.id, forward.n), None)
+        greenlet = forward.greenlet
+        if greenlet is not None and greenlet is not gevent.getcurrent():
+            greenlet.kill(why, block=False)
+
+    def _carry(self, f, hear):
+        connection, clean, note = None, False, 0
+        try:
+            with gevent.Timeout(max(f.until - clock.now(), 1) / 1e6) as patience:
+                connection = self._connect(f.engine)
+                # connecting took time: the req may be over, its engine may drain by now, and a send counts from its first byte
+                if hear.may_still_send(f):
+                    ending, note, clean = self._talk(f, connection, hear, patience)
+                else:
+                    ending, clean = "not sent", True
+        except Stopped:
+            return
+        except gevent.Timeout:
+            ending = "timed out" if f.written else "unreachable"
+        except Broke as why:
+            ending = why.ending
+            self.counters["forward_" + why.why.partition(":")[0].replace(" ", "_")] += 1
+        finally:
+            self.out.pop((f.req.id, f.n), None)
+            if connection is not None and not clean:
+                connection.close()
+        if clean:
+            self._close(self.kept.give(clock.now(), f.engine, connection))
+        hear.ended(f, ending, note)
+
+    def _talk(self, f, connection, hear, patience):
+        host = "%s:%d" % self.addresses.get(f.engine, ("gone", 0))
+        try:
+            connection.sendall(answers.request(f.req.ask, host, f.until - clock.now()))
+        except OSError as why:
+            raise Broke("unreachable", "unwritten: %s" % why) from why
+        f.written = True
+        reader, head, body, events = messages.Answers(), None, [], None
+        while True:
+            try:
+                data = connection.recv(CHUNK)
+            except OSError as why:
+                raise Broke("reset", "broken: %s" % why) from why
+            if not data:
+                raise Broke("reset", "closed in mid-answer" if head else "closed without an answer")
+            whole = []
+            for event in reader.feed(data):
+                if event[0] == "head":
+                    head = event[1]
+                    f.load = answers.load(head.headers.get(answers.LOAD))
+                    events = Events() if head.status == 200 else None
+                elif event[0] == "body":
+                    body.append(event[1])
+                elif event[0] == "bad":
+                    self._pass_on(f, whole, hear, patience)
+                    raise Broke("reset", "unreadable: %s" % event[1])
+                elif events is not None and body:
+                    try:
+                        whole.append(events.feed(b"".join(body)))
+                    except BadEvents as why:
+                        self._pass_on(f, whole, hear, patience)
+                        raise Broke("reset", "spoilt: %s" % why) from why
+                    body = []
+                if event[0] == "end":
+                    self._pass_on(f, whole, hear, patience)
+                    # what follows an answer was not asked for: the answer stands, the connection is done with
+                    clean = head.keep and not reader.bad and not reader.inside and connection.quiet()
+                    if events is None:
+                        return (*answers.ending(head, b"".join(body)), clean)
+                    if not events.done:
+                        raise Broke("reset", "ended without its last event")
+                    f.load = events.load or f.load
+                    return "done", events.found, clean
+            self._pass_on(f, whole, hear, patience)
+            if events is not None:
+                f.half = reader.half or events.inside
+
+    def _pass_on(self, f, whole, hear, patience):
+        data = b"".join(whole)
+        whole.clear()
+        if data:
+            f.heard = clock.now()
+            if not f.began:
+                patience.close()  # from its first event on, the stream has no deadline
+            hear.events(f, data)
+
+    # ---- letting go ----
+
+    def let_go(self, id, engine, others):
+        """All that is held for the req is let go; `engine` is asked first, then `others()`, till one has answered."""
+        gevent.spawn(self._let_go, id, engine, others)
+
+    def _let_go(self, id, engine, others):
+        self.letting_go += 1
+        try:
+            for _ in range(LET_GO_TRIES):
+                if self._asked_to_let_go(id, engine):
+                    return
+                engine = next((other for other in others() if other != engine), engine)
+            self.counters["let_go_failed"] += 1
+            self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
+        finally:
+            self.letting_go -= 1
+
+    def _asked_to_let_go(self, id, engine):
+        connection, clean, until = None, False, clock.now() + LET_GO_WITHIN * 1e6
+        try:
+            with gevent.Timeout(LET_GO_WITHIN):
+                connection = self._connect(engine, also_left=True)
+                connection.sendall(answers.let_go(id, "%s:%d" % (
+                    self.addresses.get(engine) or self.left.get(engine) or ("gone", 0))))
+                reader = messages.Answers()
+                while True:
+                    data = connection.recv(CHUNK)
+                    if not data:
+                        raise Broke("reset", "closed")
+                    events = [event[0] for event in reader.feed(data)]
+                    if "end" in events:
+                        clean = not reader.bad and not reader.inside and connection.quiet()
+                        return True
+                    if "bad" in events:
+                        return False
+        except (Broke, OSError, gevent.Timeout) as why:
+            # a hung or lost engine must not hold up what another could do; no faster than its share of the time
+            self.counters["let_go_again"] += 1
+            self.log.debug("let_go_again", req=id, engine=engine, why=str(why))
+            gevent.sleep(min(max(until - clock.now(), 0) / 1e6, 0.01))
+            return False
+        finally:
+            if connection is not None:
+                if clean:
+                    self._close(self.kept.give(clock.now(), engine, connection))
+                else:
+                    connection.close()
--- /dev/null
+++ b/martenrouter/node/hands.py
@@ -0,0 +1,185 @@
+"""What the module decides is done here, and what is seen on the sockets is told to it: the facts of each req, no choices.
+
+Each req gets one final answer: done (its stream's end passed on), pushed back, or aborted. After it nothing is sent for it
+but calls that let go of what is held.
+"""
+import math
+
+from martenrouter.edge import clock
+from martenrouter.node.engines import Forward
+from martenrouter.edge.lines import Broke
+from martenrouter.wire.platform import messages
+
+# A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is this old is spoilt
+HALF_WITHIN = 3_000_000
+# The same 5 s for a stream that is silent between events, where its client asks for the rest elsewhere. Where it doesn't,
+# cutting a stream that may still come would lose the req: then only its sockets are bounded
+SILENT_WITHIN, SILENT_AT_MOST = 4_500_000, 60_000_000
+LEAVES_NOTHING = ("read", "unreachable", "not sent", "full")  # any other end of a read may leave a state behind
+
+
+class Req:
+    def __init__(self, ask, conn, arrived, deadline):
+        self.ask, self.id, self.conn, self.arrived, self.deadline = ask, ask.id, conn, arrived, deadline
+        self.forwards, self.used = {}, 0
+        self.reader = None      # where its state is or may be
+        self.streams = None     # the forward whose events go to the client
+        self.over = None        # its final answer: done, pushed back, aborted, broken or gone
+
+
+class Hands:
+    """`desk`, `engines`, `phases` are set by the node that these are the hands of."""
+
+    def __init__(self, settings, counters, log):
+        self.settings, self.counters, self.log = settings, counters, log
+        self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
+        self.phases, self.kinds = {}, {}   # engine -> its phase and kind, as last told
+
+    # ---- from the door ----
+
+    def arrived(self, conn, ask, at):
+        """A whole req was read; `at`: when its first bytes were, the latest that it can have been sent."""
+        r = self.reqs[ask.id] = Req(ask, conn, at, at + ask.timeout)
+        self.counters["reqs"] += 1
+        self.desk.post("arrived", r.id, ask.group, None, ask.session, r.deadline, ask.hint, ask.prefix, ask.prompt,
+                       ask.shared, ask.max_out, ask.flags)
+        return r
+
+    def client_left(self, r):
+        if r.over is None:
+            self._finish(r, "gone")
+            self.desk.post("gone", r.id)
+            if r.streams:
+                # the module leaves a stream that has started alone; nobody reads this one, so it ends
+                self.engines.stop(r.streams)
+                self._end(r.streams, "cancelled", 0)
+
+    # ---- decisions of the module ----
+
+    def forward(self, id, engine, time_out):
+        r = self.reqs[id]
+        now = clock.now()
+        f = Forward(r, r.used, engine, now, min(r.deadline, now + time_out) if time_out else r.deadline)
+        r.used += 1
+        r.forwards[f.n] = f
+        if r.over or engine not in self.engines.addresses:
+            return self._end(f, "not sent", 0)
+        if self.reads(engine):
+            r.reader = engine
+        self.engines.start(f, self)
+
+    def push_back(self, id, wait):
+        r = self.reqs.get(id)
+        if r and r.over is None and r.streams is None:
+            told = [("retry-after", "%.3f" % (math.ceil(wait / 1000) / 1000))] if wait else ()
+            self._finish(r, "pushed back", 503, "pushed back: trying again is harmless", told)
+
+    def abort(self, id):
+        r = self.reqs.get(id)
+        if r and r.over is None and r.streams is None:
+            self._finish(r, "aborted", 502, "aborted: it may have run")
+
+    def cancel(self, id, n):
+        r = self.reqs.get(id)
+        f = r and r.forwards.get(n)
+        if f and not f.began and not f.ended:
+            self.engines.stop(f)
+            self._end(f, "cancelled", 0)
+
+    def let_go(self, id):
+        r = self.reqs.get(id)
+        if r and r.reader:
+            self.release(r)
+
+    def wake(self, mark, after):
+        self.desk.wake(mark, after)
+
+    def subscribe(self):
+        """The watch of the list runs from the start."""
+
+    # ---- from forwards ----
+
+    def reads(self, engine):
+        return self.roles.get(self.kinds.get(engine)) == "read"
+
+    def may_still_send(self, f):
+        """Protocol facts only: the req is open, its forward not cancelled, its engine neither draining nor gone."""
+        return f.req.over is None and not f.ended and self.phases.get(f.engine) == "up" and clock.now() < f.until
+
+    def events(self, f, data):
+        """Whole events came. The first ones make this the forward whose stream the client gets."""
+        r = f.req
+        if not f.began:
+            if r.over or r.streams:
+                raise Broke("cancelled", "late")
+            f.began, r.streams = True, f
+            self.desk.post("first_token", r.id, f.n, f.engine, clock.now() - f.at)
+            for other in list(r.forwards.values()):
+                if other is not f:
+                    self.engines.stop(other)
+                    self._end(other, "cancelled", 0)
+            r.conn.begin_stream()
+        r.conn.pass_on(data)
+
+    def ended(self, f, ending, note):
+        if not f.ended:
+            self._end(f, ending, note)
+
+    def _end(self, f, ending, note):
+        r = f.req
+        f.ended = True
+        elapsed = clock.now() - f.at
+        r.forwards.pop(f.n, None)
+        if r.streams is f and r.over is None:
+            self._finish(r, "done" if ending == "done" else "broken")
+        self.counters["ended_" + ending.replace(" ", "_")] += 1
+        self.log.debug("forward_ended", req=r.id, n=f.n, engine=f.engine, ending=ending, note=note, took=elapsed, load=f.load)
+        self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
+        if self.reads(f.engine) and ending not in LEAVES_NOTHING:
+            # guards against a state that nobody knows of: the read may have ended well just as its connection was closed
+            self.release(r)
+        self._forget(r)
+
+    # ---- ends of reqs ----
+
+    def _finish(self, r, over, status=None, text=None, more=()):
+        r.over = over
+        self.counters["over_" + over.replace(" ", "_")] += 1
+        self.log.info("req_over", req=r.id, over=over, took=clock.now() - r.arrived, forwards=r.used,
+                      engine=r.streams.engine if r.streams else None)
+        if status:
+            r.conn.answer(status, text, more)
+        elif over == "done":
+            r.conn.end_stream()
+        elif over == "broken":
+            r.conn.cut()
+        self._forget(r)
+
+    def _forget(self, r):
+        if r.over and not r.forwards:
+            self.reqs.pop(r.id, None)
+
+    def release(self, r):
+        self.counters["let_go"] += 1
+        self.engines.let_go(r.id, r.reader, self._others)
+
+    def _others(self):
+        """Engines that run as far as is known, those first that have a connection to spare."""
+        kept = self.engines.kept.idle
+        return sorted((id for id, phase in self.phases.items() if phase != "gone"),
+                      key=lambda id: (id not in kept, -kept[id][-1][0] if id in kept else 0))
+
+    def look_after(self, now):
+        """What no event tells: a req past its deadline, a stream that has gone silent."""
+        silent = SILENT_WITHIN if self.settings.get("streams_resume") else SILENT_AT_MOST
+        for f in list(self.engines.out.values()):
+            if f.began and now - f.heard > (HALF_WITHIN if f.half else silent):
+                self.counters["streams_silent"] += 1
+                self.engines.stop(f)
+                self._end(f, "reset", 0)
+        for r in list(self.reqs.values()):
+            if now >= r.deadline and r.over is None and r.streams is None:
+                # guards against a round that failed: the module answers before the deadline by itself
+                self.counters["answered_late"] += 1
+                self._finish(r, "aborted", 504, "no answer within X-Timeout-Ms")
+                self.desk.post("gone", r.id)
--- /dev/null
+++ b/martenrouter/node/life.py
@@ -0,0 +1,157 @@
+"""The life of a front node: put together from its configuration, started, reloaded on SIGHUP, stopped on SIGTERM."""
+import collections
+import os
+import signal
+import zlib
+
+import gevent
+from gevent.event import Event
+
+from martenrouter.decisions.connections import Connections
+from martenrouter.edge import clock
+from martenrouter.node.desk import Desk
+from martenrouter.node.door import Door
+from martenrouter.node.engines import Engines
+from martenrouter.node.hands import Hands
+from martenrouter.node.watch import Watch
+from martenrouter.rules import Front
+from martenrouter.settings import told
+from martenrouter.wire.platform import configuration as codec
+from martenrouter.wire.platform import members
+
+LOOK = 0.05             # seconds between looks at what no event tells
+STILL_COMING = 0.6      # seconds after SIGTERM in which new connections come: the platform's page says 0.4 at most
+CLIENTS, ENGINES = 0.5, 0.4  # shares of the descriptors: clients' reqs hold a third at most, the rest is for bad ones
+IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
+
+
+class Node(Hands):
+    def __init__(self, path, log):
+        """Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and the mend."""
+        self.path = path
+        settings, known = self._read()
+        plain = told.from_nested(settings.settings)
+        super().__init__(plain, collections.Counter(), log)
+        self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
+        self.offset = clock.wall() - clock.now()  # one figure for the life of the process: an engine's start stays the same
+        self.desk = Desk(Front(zlib.crc32(settings.seed.encode()), plain), self, log)
+        sockets = settings.limits.sockets
+        idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
+        self.engines = Engines(Connections(max(int(sockets * ENGINES) // 16, 4), idle),
+                               plain.get("connect_within", 250_000), self.counters, log)
+        groups = {group.get("name") for group in plain["groups"]}
+        self.door = Door(self.listen, int(sockets * CLIENTS), groups, self, self.counters, log)
+        self.watch = Watch(codec.address(settings.discovery, "$.discovery"), known.revision, self.listed, self.counters, log)
+        self.done = Event()
+        self.listed(known, "first")
+
+    def _read(self):
+        with open(self.path, "rb") as file:
+            return codec.configuration(file.read())
+
+    # ---- the list ----
+
+    def listed(self, message, scope=None):
+        """What was written to this node counts as told, whatever its revision says: phases hold from here on."""
+        scope = scope or ("whole" if message.complete else "changes")
+        rows = [members.row(member, self.offset) for member in message.members]
+        moved = {}
+        if scope != "changes":
+            named = {member.id for member in message.members}
+            moved = {id: None for id in self.phases if id not in named}
+        for member, row in zip(message.members, rows):
+            moved[member.id] = member.host_port if row[0] != "gone" else None
+            self.kinds[member.id] = member.flavor
+            self.phases[member.id] = row[0]
+        for id, address in moved.items():
+            if address is None:
+                self.phases.pop(id, None)
+                self.kinds.pop(id, None)
+        self.engines.moved(moved)
+        self.desk.post("listed", message.revision, scope, rows)
+        self.log.info("list", revision=message.revision, scope=scope, rows=[(row[3], row[0], row[6]) for row in rows]
+                      if scope == "changes" else len(rows))
+
+    # ---- life ----
+
+    def start(self):
+        """Raises OSError when the address can't be listened on."""
+        self.door.start()
+        self.watch.start()
+        self.desk.start()
+        gevent.spawn(self._look)
+        self.log.info("node_started", name=self.name, listen="%s:%d" % self.door.server.address[:2], pid=os.getpid(),
+                      engines=len(self.phases))
+
+    def run(self):
+        """Serves until SIGTERM or SIGINT; returns the exit code."""
+        for number, act in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
+                            (signal.SIGUSR1, self.say_beliefs)):
+            gevent.signal_handler(number, self._signalled, act)
+        self.start()
+        self.done.wait()
+        return 0
+
+    def _signalled(self, act):
+        gevent.spawn(act)
+
+    def _look(self):
+        while True:
+            gevent.sleep(LOOK)
+            now = clock.now()
+            try:
+                self.look_after(now)
+                self.engines.sweep()
+                self.door.sweep(now)
+            except Exception as why:
+                # looks go on: what they guard against would otherwise be guarded by nothing
+                self.log.error("look_failed", error="%s: %s" % (type(why).__name__, why))
+
+    def reload(self):
+        """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes nothing."""
+        try:
+            settings, _ = self._read()
+        except (codec.Unreadable, OSError) as why:
+            self.log.error("configuration_refused", why=str(why), mend="the old one stays; mend the file and signal again")
+            return
+        self.counters["reloaded"] += 1
+        self.log.info("reloaded", discovery=settings.discovery)
+        self.watch.move(codec.address(settings.discovery, "$.discovery"))
+
+    def stop(self):
+        """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the process ends."""
+        if self.door.stopping:
+            return
+        self.door.stopping = True
+        self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
+        gevent.sleep(STILL_COMING)
+        self.door.server.close()
+        while self.reqs or self.engines.letting_go or any(conn.rest for conn in self.door.conns.values()):
+            self.door.close_idle()
+            gevent.sleep(0.02)
+        self.door.close_idle()
+        gevent.sleep(0.05)  # the last answers' connections are read to their ends by their clients
+        self.log.info("node_stopped", unanswered=sum(r.over is None for r in self.reqs.values()), **self.counters)
+        self.done.set()
+
+    # ---- what is believed, beside what the sockets hold ----
+
+    def beliefs(self):
+        """The module's view of each engine beside the node's facts, and what is open."""
+        now, front = clock.now(), self.desk.front
+        out = collections.Counter(f.engine for f in self.engines.out.values())
+        engines = {}
+        for id, engine in front.engines.items():
+            held = [n for r in front.reqs.values() for n, f in r.out.items() if f.engine is engine]
+            engines[id] = {"up": engine.up, "phase": self.phases.get(id, "gone"), "module_out": len(held), "out": out[id],
+                           "waiting": len(engine.waiting), "pending": engine.pending, "streams": int(engine.streams),
+                           "failed": engine.failed, "strain": round(front.strain(engine), 2), "load": engine.load,
+                           "load_age": now - engine.load_at if engine.load else None, "born": engine.born,
+                           "kept_connections": len(self.engines.kept.idle.get(id, ()))}
+        return {"open": len(self.reqs), "module_open": len(front.live), "clients": len(self.door.conns),
+                "descriptors": len(os.listdir("/proc/self/fd")) if os.path.isdir("/proc/self/fd") else None,
+                "rounds": self.desk.rounds, "slowest_round": self.desk.slowest, "faults": self.desk.faults,
+                "counters": dict(self.counters), "engines": engines}
+
+    def say_beliefs(self):
+        self.log.info("beliefs", **self.beliefs())
--- a/martenrouter/wire/http.py
+++ b/martenrouter/wire/http.py
@@ -13,7 +13,7 @@
 
 
 class Head:
-    __slots__ = ("status", "method", "path", "headers", "keep")
+    __slots__ = ("status", "method", "path", "headers", "keep", "version")
 
     def __init__(self, status, method, path, headers, keep):
         self.status, self.method, self.path, self.headers, self.keep = status, method, path, headers, keep
@@ -80,8 +80,9 @@
                     parser.should_keep_alive())
 
 
-PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 412: "Precondition Failed", 413: "Content Too Large",
-           429: "Too Many Requests", 500: "Internal Server Error", 503: "Service Unavailable"}
+PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+           410: "Gone", 412: "Precondition Failed", 413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+           504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
 
 
 def request(method, path, host, headers, body=b""):
--- /dev/null
+++ b/martenrouter/wire/platform/asks.py
@@ -0,0 +1,82 @@
+"""A client's req as the platform's clients send it: a chat completion with a few headers of the platform's own."""
+import re
+
+import msgspec
+
+from martenrouter.wire.platform.messages import BODY_LIMIT
+
+PATH = "/v1/chat/completions"
+ID = re.compile(r"[0-9A-Za-z_.-]{1,64}\Z")  # ids are 16 hex digits; all that is safe in a path and a head is passed on
+TIMEOUT_LIMIT = 86_400_000  # ms: a day; more is no wait that a client means
+CHARACTERS = 4              # make a token, by the protocol's page
+HINTED, REPEAT, REST = 1, 2, 16  # bits that the module gets: a hint is there, a client's repeat, asks for the rest
+
+
+class BadAsk(Exception):
+    """A req that is answered with `status` at once; says what is wrong with it."""
+
+    def __init__(self, status, why):
+        super().__init__(why)
+        self.status = status
+
+
+class Ask:
+    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session` may be None; lengths in tokens."""
+    __slots__ = ("id", "group", "session", "timeout", "hint", "prefix", "prompt", "shared", "max_out", "flags", "target",
+                 "body")
+
+
+class _Body(msgspec.Struct):
+    messages: list[msgspec.Raw]
+    max_tokens: int | None = None
+
+
+_body = msgspec.json.Decoder(_Body)
+
+
+def _whole(text, name, most):
+    if not (text.isascii() and text.isdigit() and len(text) <= 12) or int(text) > most:
+        raise BadAsk(400, "%s is not a whole number from 0 to %d: %r" % (name, most, text[:40]))
+    return int(text)
+
+
+def check_head(head, groups):
+    """What a head alone shows to be wrong, before its body has come. Raises BadAsk. `groups`: names that exist."""
+    path = head.path.partition("?")[0]
+    if path != PATH:
+        raise BadAsk(404, "there is nothing at %s; reqs go to %s" % (path[:60], PATH))
+    if head.method != "POST":
+        raise BadAsk(405, "%s takes POST" % PATH)
+    if head.version != "1.1":
+        raise BadAsk(505, "HTTP/1.1 is spoken here")
+    told = head.headers.get("content-length")
+    if told is not None and int(told) > BODY_LIMIT:
+        raise BadAsk(413, "a body of %s bytes; %d are taken" % (told[:20], BODY_LIMIT))
+    if not ID.match(head.headers.get("x-request-id", "")):
+        raise BadAsk(400, "X-Request-ID is missing or not of its form")
+    if head.headers.get("x-priority-class") not in groups:
+        raise BadAsk(400, "X-Priority-Class names no class: %r" % head.headers.get("x-priority-class", "")[:40])
+    _whole(head.headers.get("x-timeout-ms", ""), "X-Timeout-Ms", TIMEOUT_LIMIT)
+
+
+def ask(head, body):
+    """Ask of a head that check_head passed, and its body. Raises BadAsk."""
+    get = head.headers.get
+    try:
+        told = _body.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as why:
+        raise BadAsk(400, "the body is not a chat completion: %s" % why)
+    a = Ask()
+    a.id, a.group, a.session = get("x-request-id"), get("x-priority-class"), get("x-route-key") or None
+    a.target, a.body = head.path, body
+    a.timeout = int(get("x-timeout-ms")) * 1000
+    extras = dict(part.strip().partition("=")[::2] for part in get("x-attrs", "").split(",") if part.strip())
+    a.prefix = extras.get("prefix") or None
+    a.prompt = _whole(extras.get("prompt_len") or str(len(body) // CHARACTERS), "prompt_len", BODY_LIMIT)
+    a.shared = _whole(extras.get("prefix_len") or "0", "prefix_len", BODY_LIMIT)
+    a.max_out = _whole(extras.get("max_out") or str(max(told.max_tokens or 256, 0)), "max_out", BODY_LIMIT)
+    cost = get("x-cost")
+    a.hint = _whole(cost, "X-Cost", 10**12 - 1) if cost else None
+    repeat = get("x-retried")
+    a.flags = (HINTED if a.hint is not None else 0) | (REPEAT if repeat else 0) | (REST if repeat == "again" else 0)
+    return a
--- a/tests/test_settings_and_house.py
+++ b/tests/test_settings_and_house.py
@@ -14,12 +14,13 @@
 
 # package -> what of ours it may import, as shared by all who build here
 FLOORS = {
-    "cli": {"lab", "standins", "edge", "planner", "state", "wire", "settings", "decisions"},
+    "cli": {"node", "lab", "standins", "edge", "planner", "state", "wire", "settings", "decisions"},
     "lab": {"standins", "edge", "wire", "decisions", "settings", "state"},
     "standins": {"wire", "settings", "state", "edge"},
     "edge": {"wire", "decisions", "state", "settings"},
     "planner": {"wire", "decisions", "state", "settings"},
-    "state": {"settings"}, "wire": set(), "settings": set(), "decisions": {"rules"}, "drill": {"rules"}, "rules": set(),
+    "state": {"settings"}, "wire": set(), "settings": set(), "decisions": {"rules"}, "drill": {"rules", "settings"}, "rules": set(),
+    "node": {"edge", "wire", "decisions", "settings", "rules"},
 }
 
 
