--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -31,38 +31,37 @@
         while True:
             try:
                 self._follow()
-            except (OSError, gevent.Timeout, members.BadLine, http.BadBytes) as why:
+            except (Exception, gevent.Timeout) as why:
+                # whatever it was, this node's own fault too: without a watch every drain would be broken from here on
                 self.counters["watch_broken"] += 1
-                self.log.info("watch_broken", why=str(why) or type(why).__name__)
+                self.log.info("watch_broken", why="%s: %s" % (type(why).__name__, why))
                 if clock.now() - self.heard < 1e6:
                     wait = FIRST
             gevent.sleep(wait)
             wait = min(2 * wait, LONGEST)
 
     def _follow(self):
-        line = None
+        line, reader, lines = None, messages.Lasting(), members.Lines()
         try:
-            with gevent.Timeout(SILENT) as patience:
+            with gevent.Timeout(SILENT):
                 line = Line(self.address, SILENT)
                 line.sendall(http.request("GET", members.whole(self.revision), "%s:%d" % self.address, ()))
-                reader, lines = messages.Lasting(), members.Lines()
-                while True:
+            while True:
+                with gevent.Timeout(SILENT):
                     data = line.recv(64 * 1024)
-                    if not data:
-                        raise OSError("closed by the agent")
-                    patience.close()
-                    patience.start()
-                    for event in reader.feed(data):
-                        if event[0] == "head" and event[1].status != 200:
-                            raise http.BadBytes("status %d" % event[1].status)
-                        if event[0] == "bad":
-                            raise http.BadBytes(event[1])
-                        for told in lines.feed(event[1]) if event[0] == "body" else ():
-                            message = members.told(told)
-                            self.heard, self.revision = clock.now(), message.revision
-                            self.told(message)
-                        if event[0] == "end":
-                            raise OSError("ended by the agent")
+                if not data:
+                    raise OSError("closed by the agent")
+                for event in reader.feed(data):
+                    if event[0] == "head" and event[1].status != 200:
+                        raise http.BadBytes("status %d" % event[1].status)
+                    if event[0] == "bad":
+                        raise http.BadBytes(event[1])
+                    for told in lines.feed(event[1]) if event[0] == "body" else ():
+                        message = members.told(told)
+                        self.heard, self.revision = clock.now(), message.revision
+                        self.told(message)
+                    if event[0] == "end":
+                        raise OSError("ended by the agent")
         finally:
             if line is not None:
                 line.close()
