--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -22,6 +22,7 @@
     def __init__(self, req, n, engine, at, until):
         self.req, self.n, self.engine, self.at, self.until, self.heard = req, n, engine, at, until, at
         self.greenlet, self.began, self.ended, self.written, self.load = None, False, False, False, None
+        self.why = None
         self.half = False       # part of an event or of a chunk has come
 
 
@@ -56,7 +57,7 @@
         except gevent.Timeout:
             ending = "timed out" if f.written else "unreachable"
         except Broke as why:
-            ending = why.ending
+            ending, f.why = why.ending, why.why
             self.counters["forward_" + why.why.partition(":")[0].replace(" ", "_")] += 1
         finally:
             self.out.pop((f.req.id, f.n), None)
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -133,7 +133,8 @@
         if r.streams is f and r.over is None:
             self._finish(r, "done" if ending == "done" else "broken")
         self.counters["ended_" + ending.replace(" ", "_")] += 1
-        self.log.debug("forward_ended", req=r.id, n=f.n, engine=f.engine, ending=ending, note=note, took=elapsed, load=f.load)
+        self.log.debug("forward_ended", req=r.id, n=f.n, engine=f.engine, ending=ending, note=note, took=elapsed, load=f.load,
+                       why=f.why)
         self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
         if self.reads(f.engine) and ending not in LEAVES_NOTHING:
             # guards against a state that nobody knows of: the read may have ended well just as its connection was closed
