Held states are let go behind the last cancel; broken reads' states twice; idle clients 3 s

Examined: debug lines by req around the times of the breaks; each was a req answered or left while a writer forward was out. Lines responsible: Hands._forget popped the req with its last cancelled forward, so that the module's let_go right behind it in the same round found no req. Two more causes of the same kind guarded: a DELETE may reach its engine before the close of the cancelled forward's connection does, so it is made again after 0.1 s; and a read that broke may have left a state.

Memory: parsers and their readers hold each other and waited for the cycle collector, which was set for a larger machine; connections that asked once stood for 12 s. Now readers are closed, the collector looks every 5,000 objects, idle ones are closed after 3 s (2 are allowed).

--- a/martenrouter/cli/life.py
+++ b/martenrouter/cli/life.py
@@ -28,9 +28,9 @@
     threading.Thread(target=watch, daemon=True).start()
 
 
-def settle_memory():
+def settle_memory(objects=50_000):
     """What is loaded by now lives as long as the process, and what a req leaves is freed by count: the collector of
     cycles need not look often. 50,000 new objects are some hundred reqs; a look then costs under a millisecond."""
     gc.collect()
     gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
+    gc.set_threshold(objects, 20, 100)
--- a/martenrouter/cli/node.py
+++ b/martenrouter/cli/node.py
@@ -29,7 +29,7 @@
         raise click.ClickException("%s: the configuration can't be read: %s" % (path, why.strerror)) from why
     except (configuration.Unreadable, Unreadable) as why:
         raise click.ClickException("%s: %s" % (path, why)) from why
-    settle_memory()
+    settle_memory(5_000)  # on a small machine's memory what waits for a look counts
     try:
         code = node.run()
     except OSError as why:
--- a/martenrouter/node/desk.py
+++ b/martenrouter/node/desk.py
@@ -24,5 +24,6 @@
             place = traceback.extract_tb(why.__traceback__)[-1]
             self.log.error("round_failed", error="%s: %s" % (type(why).__name__, why), where=place.name, line=place.lineno)
             self.wake(AGAIN, 20_000)
+        self.hands.round_over()
         self.rounds += 1
         self.slowest = max(self.slowest, clock.now() - now)
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -16,7 +16,7 @@
 
 CHUNK = 64 * 1024
 WHOLE_WITHIN = 2_200_000    # microseconds from a connection's start, or a req's first byte, to its last: 3 s are allowed
-IDLE_WITHIN = 12_000_000    # between reqs: clients think for some seconds; the platform allows a close after 2 s
+IDLE_WITHIN = 3_000_000     # between reqs: the platform allows a close after 2 s; some clients ask once and stay for good
 LINGER = 600_000            # after an error: the client reads it before a close can reset it away
 LINGER_BYTES = 4 * 1024 * 1024  # and no more than this is read and thrown away for it
 UNSENT_LIMIT = 256 * 1024   # no whole answer is larger: a client that leaves so much unread reads nothing
@@ -232,6 +232,7 @@
                 self.hands.client_left(conn.req)
             if conn.writer is not None:
                 conn.writer.kill(block=False)
+            conn.reader.close()
             line.close()
 
     def _make_room(self, now):
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -74,7 +74,14 @@
         except OSError as why:
             raise Broke("unreachable", "unwritten: %s" % why) from why
         f.written = True
-        reader, head, body, events = messages.Answers(), None, [], None
+        reader = messages.Answers()
+        try:
+            return self._listen(f, connection, reader, hear, patience)
+        finally:
+            reader.close()
+
+    def _listen(self, f, connection, reader, hear, patience):
+        head, body, events = None, [], None
         while True:
             try:
                 data = connection.recv(CHUNK)
@@ -125,22 +132,31 @@
 
     # ---- letting go ----
 
-    def let_go(self, id, engine, others):
-        """All that is held for the req is let go; `engine` is asked first, then `others()`, till one has answered."""
-        gevent.spawn(self._let_go, id, engine, others)
+    def let_go(self, id, engine, others, after=(0,), still=lambda: True):
+        """All that is held for the req is let go; `engine` is asked first, then `others()`, till one has answered. This
+        is done at each of the seconds `after` now at which `still()`."""
+        gevent.spawn(self._let_go, id, engine, others, after, still)
 
-    def _let_go(self, id, engine, others):
+    def _let_go(self, id, engine, others, after, still):
         self.letting_go += 1
+        begun = clock.now()
         try:
-            for _ in range(LET_GO_TRIES):
-                if self._asked_to_let_go(id, engine):
-                    return
-                engine = next((other for other in others() if other != engine), engine)
-            self.counters["let_go_failed"] += 1
-            self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
+            for delay in after:
+                gevent.sleep(max(begun / 1e6 + delay - clock.now() / 1e6, 0))
+                if still():
+                    self._let_go_now(id, engine, others)
         finally:
             self.letting_go -= 1
 
+    def _let_go_now(self, id, engine, others):
+        self.counters["let_go"] += 1
+        for _ in range(LET_GO_TRIES):
+            if self._asked_to_let_go(id, engine):
+                return
+            engine = next((other for other in others() if other != engine), engine)
+        self.counters["let_go_failed"] += 1
+        self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
+
     def _asked_to_let_go(self, id, engine):
         connection, clean, until = None, False, clock.now() + LET_GO_WITHIN * 1e6
         try:
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -18,12 +18,19 @@
 LEAVES_NOTHING = ("read", "unreachable", "not sent", "full")  # any other end of a read may leave a state behind
 
 
+# seconds from what leaves a state to the calls that let go of it, 300 ms being the limit. Where nobody knows whether there is
+# one, its like may be sent in the next round, and the first call waits for that
+AT_ONCE_AND_AGAIN, LATER_AND_AGAIN = (0, 0.1), (0.02, 0.12)
+
+
 class Req:
     def __init__(self, ask, conn, arrived, deadline):
         self.ask, self.id, self.conn, self.arrived, self.deadline = ask, ask.id, conn, arrived, deadline
         self.forwards, self.used = {}, 0
         self.reader = None      # where its state is or may be
         self.streams = None     # the forward whose events go to the client
+        self.holds = False      # whether a read has ended and nothing has taken its state, as far as is known
+        self.doubtful = False   # whether a read broke that may have left a state all the same
         self.over = None        # its final answer: done, pushed back, aborted, broken or gone
 
 
@@ -32,6 +39,7 @@
 
     def __init__(self, settings, counters, log):
         self.settings, self.counters, self.log = settings, counters, log
+        self.leaving = []
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = {}, {}   # engine -> its phase and kind, as last told
 
@@ -89,7 +97,8 @@
     def let_go(self, id):
         r = self.reqs.get(id)
         if r and r.reader:
-            self.release(r)
+            r.holds = False
+            self._clear(r, AT_ONCE_AND_AGAIN)
 
     def wake(self, mark, after):
         self.desk.wake(mark, after)
@@ -136,11 +145,21 @@
         self.log.debug("forward_ended", req=r.id, n=f.n, engine=f.engine, ending=ending, note=note, took=elapsed, load=f.load,
                        why=f.why)
         self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
-        if self.reads(f.engine) and ending not in LEAVES_NOTHING:
-            # guards against a state that nobody knows of: the read may have ended well just as its connection was closed
-            self.release(r)
+        if self.reads(f.engine):
+            r.holds = ending == "read"
+            r.doubtful = r.doubtful or ending not in LEAVES_NOTHING
+        elif ending == "full" and note == 1:
+            r.holds = False
+        if r.doubtful and not r.holds and r.streams is None:
+            self._clear(r, LATER_AND_AGAIN)
         self._forget(r)
 
+    def _clear(self, r, after):
+        """Guards against a call that comes before its engine has seen a connection close: a forward that seems to be out keeps
+        its state from being let go, and a read may end well just then. So it is made twice, and not while a forward is
+        out, which would lose its state."""
+        self.engines.let_go(r.id, r.reader, self._others, after, lambda: not r.forwards and not r.holds)
+
     # ---- ends of reqs ----
 
     def _finish(self, r, over, status=None, text=None, more=()):
@@ -154,15 +173,20 @@
             r.conn.end_stream()
         elif over == "broken":
             r.conn.cut()
+        if r.doubtful and r.streams is None:
+            self._clear(r, LATER_AND_AGAIN)
         self._forget(r)
 
     def _forget(self, r):
         if r.over and not r.forwards:
-            self.reqs.pop(r.id, None)
-
-    def release(self, r):
-        self.counters["let_go"] += 1
-        self.engines.let_go(r.id, r.reader, self._others)
+            self.leaving.append(r)
+
+    def round_over(self):
+        """Reqs leave here and not in mid-round: the module lets go of what is held right after it cancels the last forward."""
+        leaving, self.leaving = self.leaving, []
+        for r in leaving:
+            if self.reqs.get(r.id) is r:
+                del self.reqs[r.id]
 
     def _others(self):
         """Engines that run as far as is known, those first that have a connection to spare."""
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -126,7 +126,7 @@
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
         gevent.sleep(STILL_COMING)
         self.door.server.close()
-        while self.reqs or self.engines.letting_go or any(conn.rest for conn in self.door.conns.values()):
+        while any(r.over is None or r.forwards for r in self.reqs.values()) or self.engines.letting_go or any(conn.rest for conn in self.door.conns.values()):
             self.door.close_idle()
             gevent.sleep(0.02)
         self.door.close_idle()
--- a/martenrouter/wire/platform/messages.py
+++ b/martenrouter/wire/platform/messages.py
@@ -35,6 +35,10 @@
             events.append(("bad", why))
         return events
 
+    def close(self):
+        """The parser and this hold each other: without this, what a req leaves would wait for the collector of cycles."""
+        self._parser = None
+
     @property
     def inside(self):
         """Whether a message has begun and not ended."""
