--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -89,8 +89,8 @@
                 raise Broke("reset", "broken: %s" % why) from why
             if not data:
                 raise Broke("reset", "closed in mid-answer" if head else "closed without an answer")
-            whole = []
-            for event in reader.feed(data):
+            whole, came = [], reader.feed(data)
+            for at, event in enumerate(came, 1):
                 if event[0] == "head":
                     head = event[1]
                     f.load = answers.load(head.headers.get(answers.LOAD))
@@ -110,7 +110,7 @@
                 if event[0] == "end":
                     self._pass_on(f, whole, hear, patience)
                     # what follows an answer was not asked for: the answer stands, the connection is done with
-                    clean = head.keep and not reader.bad and not reader.inside and connection.quiet()
+                    clean = head.keep and at == len(came) and not reader.inside and connection.quiet()
                     if events is None:
                         return (*answers.ending(head, b"".join(body)), clean)
                     if not events.done:
@@ -171,7 +171,7 @@
                         raise Broke("reset", "closed")
                     events = [event[0] for event in reader.feed(data)]
                     if "end" in events:
-                        clean = not reader.bad and not reader.inside and connection.quiet()
+                        clean = events[-1] == "end" and events.count("end") == 1 and not reader.inside and connection.quiet()
                         return True
                     if "bad" in events:
                         return False
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -79,10 +79,14 @@
         self.door.start()
         self.watch.start()
         self.desk.start()
-        gevent.spawn(self._look)
+        self.looker = gevent.spawn(self._look)
         self.log.info("node_started", name=self.name, listen="%s:%d" % self.door.server.address[:2], pid=os.getpid(),
                       engines=len(self.phases))
 
+    def greenlets(self):
+        """Those that run for as long as the node does."""
+        return self.watch.greenlet, self.desk.greenlet, self.looker
+
     def run(self):
         """Serves until SIGTERM or SIGINT; returns the exit code."""
         for number, act in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -14,16 +14,16 @@
     def __init__(self, address, revision, told, counters, log):
         """`address`: (host, port); `told(members.Told)` takes what comes, in order."""
         self.address, self.revision, self.told, self.counters, self.log = address, revision, told, counters, log
-        self._greenlet, self.heard = None, 0
+        self.greenlet, self.heard = None, 0
 
     def start(self):
-        self._greenlet = gevent.spawn(self._run)
+        self.greenlet = gevent.spawn(self._run)
 
     def move(self, address):
         """Another agent; the list that is held stays, and what changed since is asked for there."""
         if address != self.address:
             self.address = address
-            self._greenlet.kill(block=False)
+            self.greenlet.kill(block=False)
             self.start()
 
     def _run(self):
--- a/tests/sockets/rig.py
+++ b/tests/sockets/rig.py
@@ -46,7 +46,7 @@
                     elif event[0] == "body":
                         body.append(event[1])
                     else:
-                        self._call(sock, head, json.loads(b"".join(body)))
+                        self._call(sock, head, b"".join(body))
         except OSError:
             pass
         finally:
@@ -60,7 +60,8 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             sock.close()
 
-    def _call(self, sock, head, told):
+    def _call(self, sock, head, body):
+        told = json.loads(body)
         if head.path.endswith("release"):
             self.released.append(told["request_id"])
             sock.sendall(http.response(200, (), b"{}"))
--- /dev/null
+++ b/tests/sockets/test_node.py
@@ -0,0 +1,495 @@
+"""The front node on real sockets: scripted engines, agent and clients, judged from what passes."""
+import os
+import signal
+import subprocess
+import sys
+import unittest
+
+import gevent
+import gevent.subprocess
+from gevent import socket
+
+from martenrouter.wire import http
+from tests.sockets.node_rig import BODY, EVENTS, HEAD, Agent, Engine, Rig, request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+
+def hang(engine, sock, call, nth):
+    """Answers nothing until the node closes the connection."""
+    while sock.recv(4096):
+        pass
+    raise OSError
+
+
+def first(script):
+    """`script` for the first call, the usual answer for all others."""
+    return lambda engine, sock, call, nth: script(engine, sock) if nth == 1 else engine.answer(sock, call)
+
+
+def sends(*pieces):
+    """Bytes as an engine sends them; then the connection stays open, of no further use."""
+    def script(engine, sock):
+        for piece in pieces:
+            sock.sendall(piece)
+            gevent.sleep(0.02)
+    return script
+
+
+def ends(*pieces):
+    def script(engine, sock):
+        for piece in pieces:
+            sock.sendall(piece)
+        sock.shutdown(socket.SHUT_RDWR)
+    return script
+
+
+class Case(unittest.TestCase):
+    def rig(self, *engines, **settings):
+        self.it = Rig(*engines, **settings)
+        self.addCleanup(self.it.close)
+        return self.it
+
+    def pair(self, read=None, write=None, **settings):
+        return self.rig(Engine("r", "prefill", script=read), Engine("w", "decode", script=write), **settings)
+
+    def settled(self, rig):
+        """Nothing is open, and what the module holds of engines is what the sockets hold: nothing."""
+        rig.until(lambda: not rig.node.reqs and not rig.node.engines.out and not rig.node.engines.letting_go)
+        gevent.sleep(0.01)
+        told = rig.node.beliefs()
+        self.assertEqual((told["open"], told["module_open"], told["faults"], rig.node.desk.front.reqs), (0, 0, 0, {}))
+        for id, engine in told["engines"].items():
+            with self.subTest(engine=id):
+                self.assertEqual([engine[name] for name in ("module_out", "out", "waiting", "pending", "streams")], [0] * 5)
+
+
+class Path(Case):
+    def test_read_then_written_unchanged(self):
+        rig = self.pair()
+        client = rig.client().send(request(path="/v1/chat/completions?trace=1"))
+        status, _, body = client.answer()
+        self.assertEqual((status, client.last), (200, True))
+        self.assertEqual(body[:len(b"".join(EVENTS))], b"".join(EVENTS))
+        for engine in rig.engines.values():
+            call, = engine.calls
+            self.assertEqual((call["path"], call["body"], call["id"]), ("/v1/chat/completions?trace=1", BODY, "00000000000000a1"))
+            self.assertLessEqual(int(call["headers"]["x-timeout-ms"]), 3000)
+        self.settled(rig)
+        for engine in rig.node.desk.front.engines.values():
+            self.assertEqual(engine.load, {"reqs_held": 1.0, "memory_share": 0.25})
+
+    def test_connections_are_kept_on_both_sides(self):
+        rig = self.pair()
+        client = rig.client()
+        for n in range(5):
+            self.assertEqual(client.ask("%016x" % n).answer()[0], 200)
+        self.assertEqual(rig.node.counters["connection_opened"], 2)
+
+    def test_reqs_sent_ahead_are_answered_in_their_order(self):
+        rig = self.pair()
+        client = rig.client().send(b"".join(request("%016x" % n) for n in range(3)))
+        self.assertEqual([client.answer()[0] for _ in range(3)], [200] * 3)
+        self.assertEqual([call["id"] for call in rig.engines["w"].calls], ["%016x" % n for n in range(3)])
+
+    def test_events_pass_on_as_they_come(self):
+        go = gevent.event.Event()
+
+        def slowly(engine, sock, call, nth):
+            sock.sendall(HEAD + http.chunk(EVENTS[0]))
+            go.wait(5)
+            sock.sendall(b"".join(map(http.chunk, EVENTS[1:])) + http.chunk(b""))
+        rig = self.pair(write=slowly)
+        client = rig.client().ask()
+        came = b""
+        while EVENTS[0] not in came:
+            came += client.sock.recv(4096)
+        go.set()
+        while EVENTS[3] not in came:
+            came += client.sock.recv(4096)
+
+    def test_pushed_back_with_a_time_to_return(self):
+        rig = self.pair(read=lambda engine, sock, call, nth: sock.sendall(http.response(503, [("x-not-processed", "1")])))
+        status, headers, _ = rig.ask()
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["retry-after"]), 0)
+        self.settled(rig)
+
+
+class Endings(Case):
+    def test_what_may_be_tried_again_is(self):
+        """One that never ran, one that may have, for a replayable req: the second call answers."""
+        cases = [ends(http.response(503, [("x-not-processed", "1")])), ends(http.response(504, [("x-not-processed", "1")])),
+                 ends(http.response(500, ())), ends(), ends(b"\x00\xffnoise\r\n\r\n" * 9), ends(b"HTTP/1.1 200 OK\r\nx: " + b"y" * 90_000),
+                 ends(HEAD + b"zz\r\n"), ends(HEAD + http.chunk(b"data: {\n\n")), ends(HEAD + http.chunk(b"data: [1]\n\n"))]
+        for n, script in enumerate(cases):
+            with self.subTest(case=n):
+                rig = self.rig(Engine("r", "prefill"), Engine("w", "decode", script=first(script)),
+                               Engine("v", "decode", script=first(script)))
+                self.assertEqual(rig.ask()[0], 200)
+                self.settled(rig)
+                rig.close()
+
+    def test_non_replayable_is_sent_again_only_if_it_never_ran(self):
+        for script, status, calls in ((ends(http.response(503, [("x-not-processed", "1")])), 200, 2),
+                                      (ends(http.response(503, ())), 502, 1), (ends(), 502, 1), (ends(b"noise"), 502, 1)):
+            with self.subTest(status=status):
+                rig = self.pair(write=first(script))
+                self.assertEqual(rig.ask(x_priority_class="order")[0], status)
+                self.assertEqual(len(rig.engines["w"].calls), calls)
+                self.settled(rig)
+                rig.close()
+
+    def test_state_that_is_gone_is_read_anew(self):
+        rig = self.pair(write=first(ends(http.response(410, [("x-not-processed", "1")]))))
+        self.assertEqual(rig.ask()[0], 200)
+        self.assertEqual(len(rig.engines["r"].calls), 2)
+        self.settled(rig)
+
+    def test_stream_that_breaks_ends_without_its_last_chunk(self):
+        cases = [ends(HEAD + http.chunk(EVENTS[0])), ends(HEAD + http.chunk(EVENTS[0]) + http.chunk(b"")),
+                 sends(HEAD + http.chunk(EVENTS[0]), b"q!\r\n"), sends(HEAD + http.chunk(EVENTS[0]), http.chunk(b"data: nonsense\n\n")),
+                 sends(HEAD + http.chunk(EVENTS[0]), b"c0000000\r\n" + b"x" * 300_000, b"x" * 900_000),
+                 sends(HEAD + http.chunk(EVENTS[0]), b"5\r\ndata: much longer\r\n")]
+        for n, script in enumerate(cases):
+            with self.subTest(case=n):
+                rig = self.pair(write=lambda engine, sock, call, nth: script(engine, sock))
+                client = rig.client().ask()
+                status, _, body = client.answer()
+                self.assertEqual((status, body, client.last), (200, EVENTS[0], False))
+                self.settled(rig)
+                rig.close()
+
+    def test_half_an_event_that_never_ends_lets_the_client_off(self):
+        rig = self.pair(write=lambda engine, sock, call, nth: sends(HEAD + http.chunk(EVENTS[0]), b"40\r\ndata: ")(engine, sock) or gevent.sleep(60))
+        client = rig.client().ask()
+        self.assertEqual((client.answer()[2], client.last), (EVENTS[0], False))
+        self.settled(rig)
+
+    def test_good_answer_with_more_than_belongs_to_it(self):
+        whole = HEAD + b"".join(map(http.chunk, EVENTS)) + http.chunk(b"")
+        for n, more in enumerate((b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", b"\x00noise", b"HTTP/1.1 200 OK\r\n")):
+            with self.subTest(case=n):
+                rig = self.pair(write=lambda engine, sock, call, nth: sock.sendall(
+                    b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + whole + more))
+                client = rig.client()
+                for id in ("1" * 16, "2" * 16):
+                    status, _, body = client.ask(id).answer()
+                    self.assertEqual((status, body, client.last), (200, b"".join(EVENTS), True))
+                self.assertEqual(rig.node.counters["connection_opened"], 3)  # the reader's one is kept
+                rig.close()
+
+    def test_load_reports_that_cannot_be_read_are_as_none(self):
+        for report in ("", "inflight=x", "inflight", "x0=nan", "x0=-1", "inflight=1e400"):
+            rig = self.pair(read=lambda engine, sock, call, nth: engine.answer(sock, call, load=report))
+            self.assertEqual(rig.ask()[0], 200)
+            self.assertIsNone(rig.node.desk.front.engines["r"].load)
+            rig.close()
+
+
+class LettingGo(Case):
+    def test_client_that_leaves_while_a_writer_holds_its_req(self):
+        """The module cancels the last forward and lets go right behind it, in one round."""
+        rig = self.pair(write=hang)
+        client = rig.client().ask()
+        rig.until(lambda: rig.engines["w"].calls)
+        client.close()
+        rig.until(lambda: rig.engines["r"].released)
+        rig.until(lambda: not rig.engines["w"].socks)
+        self.settled(rig)
+        self.assertEqual(rig.engines["r"].released, ["00000000000000a1"] * 2)  # again: the first may come before the close
+
+    def test_read_that_broke_may_have_left_a_state(self):
+        rig = self.pair(read=ends_always())
+        self.assertEqual(rig.ask()[0], 503)
+        rig.until(lambda: rig.engines["r"].released)
+        self.settled(rig)
+
+    def test_call_that_fails_is_made_at_another_engine(self):
+        class Deaf(Engine):
+            def _call(self, sock, head, body):
+                if head.method == "DELETE":
+                    gevent.sleep(60)
+                super()._call(sock, head, body)
+        rig = self.rig(Deaf("r", "prefill"), Engine("w", "decode", script=hang))
+        client = rig.client().ask()
+        rig.until(lambda: rig.engines["w"].calls)
+        client.close()
+        rig.until(lambda: rig.engines["w"].released)
+
+    def test_client_that_leaves_in_mid_stream_ends_it(self):
+        def endless(engine, sock, call, nth):
+            sock.sendall(HEAD)
+            while True:
+                sock.sendall(http.chunk(EVENTS[0]))
+                gevent.sleep(0.01)
+        rig = self.pair(write=endless)
+        client = rig.client().ask()
+        client.sock.recv(10)
+        client.close()
+        rig.until(lambda: not rig.engines["w"].socks)
+        self.settled(rig)
+
+
+def ends_always():
+    return lambda engine, sock, call, nth: ends()(engine, sock)
+
+
+class Beliefs(Case):
+    def test_what_is_out_is_what_the_sockets_hold(self):
+        rig = self.rig(Engine("r", "prefill"), Engine("w", "decode", script=hang), Engine("v", "decode", script=hang))
+        clients = [rig.client().ask("%016x" % n) for n in range(4)]
+        rig.until(lambda: sum(len(rig.engines[id].calls) for id in "wv") == 4)
+        gevent.sleep(0.01)
+        told = rig.node.beliefs()["engines"]
+        for id in "wv":
+            seen = len(rig.engines[id].calls)
+            self.assertEqual([told[id][name] for name in ("module_out", "out", "waiting")], [seen] * 3)
+        for client in clients:
+            client.close()
+        self.settled(rig)
+
+    def test_engine_that_restarts_is_cold_and_forgotten(self):
+        rig = self.pair()
+        self.assertEqual(rig.ask()[0], 200)
+        front = rig.node.desk.front
+        self.assertTrue(front.engines["r"].kept)
+        engine = rig.engines["r"]
+        engine.start = int(__import__("time").time() * 1000)
+        for revision in (2, 3):  # told twice: one start
+            rig.agent.tell(revision, [engine.member()])
+            rig.until(lambda: rig.node.watch.revision == revision)
+            gevent.sleep(0.01)
+        born = front.engines["r"].born
+        self.assertLess(abs(rig.node.desk.front.now - born), 5_000_000)
+        self.assertLess(front.warmth(front.engines["r"]), 1)
+
+
+class List(Case):
+    def test_drain_holds_also_for_what_was_connecting(self):
+        rig = self.pair()
+        engine = rig.engines["r"]
+        # its listener takes no more connections, so a forward hangs in connecting while the drain is told
+        blocked = socket.socket()
+        self.addCleanup(blocked.close)
+        blocked.bind(("127.0.0.1", 0))
+        blocked.listen(0)
+        fill = [socket.socket() for _ in range(3)]
+        for sock in fill:
+            sock.setblocking(False)
+            try:
+                sock.connect(blocked.getsockname())
+            except OSError:
+                pass
+            self.addCleanup(sock.close)
+        rig.agent.tell(2, [{**engine.member(), "host_port": "%s:%d" % blocked.getsockname()}])
+        rig.until(lambda: rig.node.watch.revision == 2)
+        client = rig.client().ask()
+        rig.until(lambda: rig.node.engines.out)
+        rig.agent.tell(3, [engine.member("leaving")])
+        status, _, _ = client.answer()
+        self.assertEqual((status, engine.calls), (503, []))
+
+    def test_every_line_of_a_watch_is_followed(self):
+        rig = self.pair()
+        for revision, phase in ((2, "leaving"), (3, "active"), (1, "leaving")):  # an older revision was told all the same
+            rig.agent.tell(revision, [rig.engines["r"].member(phase)])
+            rig.until(lambda: rig.node.phases["r"] == {"leaving": "draining", "active": "up"}[phase])
+        rig.agent.tell(4, [rig.engines["r"].member("left")])
+        rig.until(lambda: "r" not in rig.node.phases)
+        self.assertEqual(rig.ask()[0], 503)
+        rig.agent.tell(5, [rig.engines[id].member() for id in "rw"], complete=True)
+        rig.until(lambda: "r" in rig.node.phases)
+        self.assertEqual(rig.ask("b" * 16)[0], 200)
+
+    def test_watch_begins_again_from_its_revision(self):
+        rig = self.pair()
+        rig.agent.greeting = rig.agent.line(7, [])
+        rig.agent.tell(7, [])
+        rig.until(lambda: rig.node.watch.revision == 7)
+        for nonsense in (http.chunk(b"{nonsense\n"), http.chunk(b'{"revision":8}\n'), b"zz\r\n", http.chunk(b"")):
+            before = len(rig.agent.asked)
+            rig.agent.raw(nonsense)
+            rig.until(lambda: len(rig.agent.asked) > before)
+            self.assertIn("index=7", rig.agent.asked[-1])
+        self.assertEqual(rig.ask()[0], 200)
+
+    def test_silent_agent_is_asked_again_and_the_last_list_serves(self):
+        rig = self.pair()
+        rig.agent.greeting = None
+        before = len(rig.agent.asked)
+        rig.until(lambda: len(rig.agent.asked) > before + 1, within=10)
+        self.assertEqual(rig.ask()[0], 200)
+
+    def test_reload_moves_to_another_agent_and_a_bad_file_changes_nothing(self):
+        rig, other = self.pair(), Agent()
+        self.addCleanup(other.server.stop)
+        for bad in ("", "{", '{"name":1}', "[]"):
+            rig.write(None, data=bad)
+            rig.node.reload()
+        self.assertEqual((rig.node.counters["reloaded"], other.asked), (0, []))
+        rig.write(other.address)
+        rig.node.reload()
+        rig.until(lambda: other.open and not rig.agent.open)
+        other.tell(9, [rig.engines["r"].member("leaving")])
+        rig.until(lambda: rig.node.phases["r"] == "draining")
+        self.assertEqual(len(rig.node.phases), 2)
+
+
+BAD = {
+    "noise": b"\x16\x03\x01\x02\x00\x01\x00" * 30, "no length": b"POST /v1/chat/completions HTTP/1.1\r\n\r\n",
+    "negative": request(content_length="-5"), "huge": request(content_length="9" * 30), "60 MB": request(content_length="60000000"),
+    "doubled": request().replace(b"content-length", b"content-length: 3\r\ncontent-length"),
+    "hidden": request().replace(b"content-length", b"transfer-encoding: chunked\r\ncontent-length"),
+    "endless head": b"GET / HTTP/1.1\r\nx: " + b"y" * 300_000, "endless line": b"GET /" + b"y" * 300_000,
+    "unknown class": request(x_priority_class="nobody"), "no class": request(x_priority_class=None),
+    "deadline": request(x_timeout_ms="soon"), "negative deadline": request(x_timeout_ms="-4"),
+    "digits of another script": request(x_timeout_ms="\xb2"), "no id": request(x_request_id=None), "odd id": request(x_request_id="a b/../c"),
+    "not JSON": request(body=b"{" * 40), "no messages": request(body=b'{"model":"chat"}'), "not text": request(body=b'"\xff\xfe"'),
+    "lengths": request(x_attrs="prompt_len=-4,prefix_len=x"), "huge lengths": request(x_attrs="prompt_len=99999999999999"),
+    "large chunks": request(content_length=None, transfer_encoding="chunked", body=b"") + (b"10000\r\n" + b"x" * 65536 + b"\r\n") * 9,
+    "elsewhere": request(path="/etc"), "old": request().replace(b"HTTP/1.1", b"HTTP/1.0"), "half": request()[:-7], "half a head": request()[:60],
+    "nothing": b"", "line ends": b"\r\n" * 100}
+
+
+class BadClients(Case):
+    def test_each_gets_an_error_or_a_close_and_no_engine_hears_of_it(self):
+        rig = self.pair()
+        clients = {name: rig.client() for name in BAD}
+        for name, client in clients.items():
+            try:
+                client.send(BAD[name])
+            except ConnectionError:
+                pass  # closed already
+        for name, client in clients.items():
+            with self.subTest(name=name):
+                status, _, _ = client.answer()
+                self.assertTrue(status is None or status >= 400, status)
+        self.assertEqual([engine.calls for engine in rig.engines.values()], [[], []])
+        self.assertEqual(rig.ask()[0], 200)
+
+    def test_error_is_not_reset_away(self):
+        rig = self.pair()
+        client = rig.client().send(request(content_length="60000000"))
+        try:
+            for _ in range(30):
+                client.send(b"x" * 100_000)
+        except ConnectionError:
+            pass
+        self.assertEqual(client.answer()[0], 413)
+
+    def test_id_of_an_open_req_leaves_that_one_alone(self):
+        go = gevent.event.Event()
+        rig = self.pair(read=lambda engine, sock, call, nth: go.wait(5) and engine.answer(sock, call))
+        honest = rig.client().ask()
+        rig.until(lambda: rig.engines["r"].calls)
+        self.assertEqual(rig.ask()[0], 409)
+        go.set()
+        self.assertEqual(honest.answer()[0], 200)
+        self.assertEqual(len(rig.engines["r"].calls), 1)
+
+    def test_hundreds_of_silent_connections_make_room(self):
+        rig = self.pair(sockets=64)
+        silent = [rig.client() for _ in range(150)]
+        gevent.sleep(0.05)
+        self.assertLessEqual(len(rig.node.door.conns), 33)
+        self.assertEqual(rig.ask()[0], 200)
+        for client in silent:
+            self.assertTrue(client.closed())
+
+    def test_hidden_req_is_never_passed_on(self):
+        rig = self.pair()
+        inner = request("c" * 16)
+        body = b"0\r\n\r\n" + inner
+        outer = request("d" * 16, body=body, transfer_encoding="chunked")
+        self.assertGreaterEqual(rig.client().send(outer).answer()[0], 400)
+        gevent.sleep(0.05)
+        self.assertEqual(rig.engines["r"].calls, [])
+
+    def test_client_that_reads_nothing_is_closed(self):
+        def much(engine, sock, call, nth):
+            event = b'data: {"choices":[{"delta":{"content":"%s"}}]}\n\n' % (b"x" * 4000)
+            sock.sendall(HEAD)
+            for _ in range(60):
+                sock.sendall(http.chunk(event))
+            gevent.sleep(60)
+        rig = self.pair(write=much)
+        clients = [rig.client().ask("%016x" % n) for n in range(3)]
+        rig.until(lambda: len(rig.engines["w"].calls) == 3)
+        gevent.sleep(0.1)
+        self.assertLess(sum(len(conn.rest) for conn in rig.node.door.conns.values()), 3 * 256 * 1024 + 1)
+        for client in clients:
+            client.close()
+        self.settled(rig)
+
+
+class Life(Case):
+    def begin(self, rig):
+        """A node of its own process with the rig's list and engines."""
+        free = socket.socket()
+        free.bind(("127.0.0.1", 0))
+        address = free.getsockname()
+        free.close()
+        with open(rig.path) as file:
+            text = file.read().replace('"127.0.0.1:0"', '"127.0.0.1:%d"' % address[1])
+        rig.write(None, data=text)
+        process = gevent.subprocess.Popen([sys.executable, "-m", "martenrouter", "node", rig.path], cwd=ROOT,
+                                          stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        self.addCleanup(lambda: process.poll() is None and process.kill())
+
+        def ready():
+            try:
+                return rig.client(address).send(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").answer()[0] == 200
+            except OSError:
+                return False
+        rig.until(ready, within=20)
+        return process, address
+
+    def test_planned_stop_finishes_what_was_taken_and_serves_what_still_comes(self):
+        go = gevent.event.Event()
+
+        def slowly(engine, sock, call, nth):
+            sock.sendall(HEAD + http.chunk(EVENTS[0]))
+            go.wait(10)
+            sock.sendall(b"".join(map(http.chunk, EVENTS[1:])) + http.chunk(b""))
+        rig = self.pair(write=slowly)
+        process, address = self.begin(rig)
+        open_one = rig.client(address).ask("1" * 16)
+        rig.until(lambda: rig.engines["w"].calls)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        gevent.sleep(0.1)
+        self.assertEqual(rig.client(address).send(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").answer()[0], 503)
+        late = rig.client(address).ask("2" * 16)
+        rig.until(lambda: len(rig.engines["w"].calls) == 2)
+        go.set()
+        for client in (open_one, late):
+            status, headers, _ = client.answer()
+            self.assertEqual((status, client.last), (200, True))
+        self.assertEqual(headers.get("connection"), "close")
+        with gevent.Timeout(20):
+            _, log = process.communicate()
+        self.assertEqual(process.returncode, 0, log)
+        self.assertIn(b'"unanswered": 0', log)
+
+    def test_bad_configuration_is_named(self):
+        rig = self.pair()
+        cases = (("{", "unusable"), ('{"name":"n"}', "listen"), ("[]", "unusable"))
+        for data, says in cases:
+            rig.write(None, data=data)
+            done = gevent.subprocess.run([sys.executable, "-m", "martenrouter", "node", rig.path], cwd=ROOT, capture_output=True, text=True)
+            self.assertNotEqual(done.returncode, 0)
+            self.assertIn(says, done.stderr)
+            self.assertNotIn("Traceback", done.stderr)
+
+    def test_only_what_a_node_needs_is_loaded(self):
+        code = ("import sys; import martenrouter.cli.node, martenrouter.cli.main, martenrouter.node.life, martenrouter.edge.log;"
+                "print([m for m in sys.modules if m.split('.')[0] in ('lmdb', 'rjsonnet', 'wsproto', 'matplotlib', 'hdrh')"
+                " or m.startswith(('martenrouter.planner', 'martenrouter.state', 'martenrouter.decisions.chain'))])")
+        done = gevent.subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+        self.assertEqual(done.stdout.strip(), "[]", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
