--- a/martenrouter/decisions/connections.py
+++ b/martenrouter/decisions/connections.py
@@ -3,21 +3,38 @@
 Kept ones are used newest first, so that a burst's extra ones grow old and are closed. An idle one that is older than
 engines commonly keep theirs is not used: its end may already be on the way, and a req sent into it would end as a
 reset that proves nothing.
+
+Something between here and the engines may also drop kept ones long before: what was kept then breaks at its next use, at all
+engines alike. Where more than a quarter of those used lately did, none is used until that has faded; a new one costs a handshake.
 """
+from martenrouter.rules import Sum
+
 
 
 class Connections:
     IDLE = 4_000_000  # engines in the field close idle connections after 5 s and more
+    FADES = 4_000_000  # microseconds: as the module's own measure of troubles that last for some seconds
 
     def __init__(self, most, idle=IDLE):
         """`idle`: microseconds an unused one is kept, where the engines' own limit is known."""
         self.most, self.within, self.idle = most, idle, {}  # engine -> [(since, connection)], oldest first
+        self.used, self.broke = Sum(self.FADES), Sum(self.FADES)
+
+    def tell(self, now, broke):
+        """How a kept connection served: `broke` if it broke before a byte of answer came."""
+        self.used.add(now, 1)
+        self.broke.add(now, broke)
+
+    def trusted(self, now):
+        return self.broke.read(now) <= (self.used.read(now) + 4) / 4  # four that held: one that broke says little
 
     def take(self, now, engine):
         """(connection or None, those to be closed)."""
         kept = self.idle.get(engine)
         if not kept:
             return None, ()
+        if not self.trusted(now):
+            return None, self.forget(engine)
         fresh = [pair for pair in kept if now - pair[0] < self.within]
         closing = [pair[1] for pair in kept if now - pair[0] >= self.within]
         connection = fresh.pop()[1] if fresh else None
--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -10,6 +10,8 @@
 
 
 class Line:
+    given = None  # when it was last put aside for reuse, in microseconds; None for a new one
+
     def __init__(self, address, within, made=None):
         """Raises OSError when there is no connection within `within` seconds. `made`: a gevent socket that is connected
         already, such as an accepted one."""
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -12,6 +12,7 @@
 from martenrouter.wire.platform.events import BadEvents, Events
 
 CHUNK = 64 * 1024
+AT_ONCE = 10_000      # microseconds: the answer of a machine that knows nothing of a connection comes within a round trip
 LET_GO_WITHIN = 0.1   # seconds for one try, of the 300 ms in which a state has to go: another engine is tried in time
 LET_GO_TRIES = 12     # a second and more in which engines don't answer
 
@@ -21,8 +22,8 @@
 
     def __init__(self, req, n, engine, at, until):
         self.req, self.n, self.engine, self.at, self.until, self.heard = req, n, engine, at, until, at
-        self.greenlet, self.began, self.ended, self.written, self.load = None, False, False, False, None
-        self.why = None
+        self.greenlet, self.began, self.ended, self.written, self.load = None, False, False, None, None
+        self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False       # part of an event or of a chunk has come
 
 
@@ -64,7 +65,8 @@
             if connection is not None and not clean:
                 connection.close()
         if clean:
-            self._close(self.kept.give(clock.now(), f.engine, connection))
+            connection.given = clock.now()
+            self._close(self.kept.give(connection.given, f.engine, connection))
         hear.ended(f, ending, note)
 
     def _talk(self, f, connection, hear, patience):
@@ -73,7 +75,8 @@
             connection.sendall(answers.request(f.req.ask, host, f.until - clock.now()))
         except OSError as why:
             raise Broke("unreachable", "unwritten: %s" % why) from why
-        f.written = True
+        f.written = clock.now()
+        f.idled = f.written - connection.given if connection.given else None
         reader = messages.Answers()
         try:
             return self._listen(f, connection, reader, hear, patience)
@@ -86,13 +89,16 @@
             try:
                 data = connection.recv(CHUNK)
             except OSError as why:
+                self._kept_one(f, head is None)
                 raise Broke("reset", "broken: %s" % why) from why
             if not data:
+                self._kept_one(f, head is None)
                 raise Broke("reset", "closed in mid-answer" if head else "closed without an answer")
             whole, came = [], reader.feed(data)
             for at, event in enumerate(came, 1):
                 if event[0] == "head":
                     head = event[1]
+                    self._kept_one(f, False)
                     f.load = answers.load(head.headers.get(answers.LOAD))
                     events = Events() if head.status == 200 else None
                 elif event[0] == "body":
@@ -121,6 +127,12 @@
             if events is not None:
                 f.half = reader.half or events.inside
 
+    def _kept_one(self, f, broke):
+        """Tells what became of a connection that had been kept. One that breaks long after the bytes went out is no sign:
+        the engine had them."""
+        if f.idled is not None:
+            self.kept.tell(clock.now(), broke and clock.now() - f.written < AT_ONCE)
+
     def _pass_on(self, f, whole, hear, patience):
         data = b"".join(whole)
         whole.clear()
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -143,7 +143,7 @@
             self._finish(r, "done" if ending == "done" else "broken")
         self.counters["ended_" + ending.replace(" ", "_")] += 1
         self.log.debug("forward_ended", req=r.id, n=f.n, engine=f.engine, ending=ending, note=note, took=elapsed, load=f.load,
-                       why=f.why)
+                       why=f.why, idled=f.idled)
         self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
         if self.reads(f.engine):
             r.holds = ending == "read"
@@ -165,7 +165,7 @@
     def _finish(self, r, over, status=None, text=None, more=()):
         r.over = over
         self.counters["over_" + over.replace(" ", "_")] += 1
-        self.log.info("req_over", req=r.id, over=over, took=clock.now() - r.arrived, forwards=r.used,
+        self.log.info("req_over", req=r.id, over=over, took=clock.now() - r.arrived, left=r.deadline - clock.now(), forwards=r.used,
                       engine=r.streams.engine if r.streams else None)
         if status:
             r.conn.answer(status, text, more)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from martenrouter.decisions.connections import Connections
 from martenrouter.settings import told
 from martenrouter.wire import http
 from martenrouter.wire.platform import answers, asks, configuration, members, messages
@@ -173,6 +174,27 @@
             pass
 
 
+class Kept(unittest.TestCase):
+    def test_kept_connections_rest_while_they_break_at_their_next_use(self):
+        kept, now = Connections(4, 30_000_000), 0
+
+        def use(broke):
+            kept.give(now, "e", object())
+            taken, closing = kept.take(now, "e")
+            if taken is not None:
+                kept.tell(now, broke)
+            return taken is not None, len(closing)
+        self.assertEqual([use(True), use(True)], [(True, 0)] * 2)   # little says little
+        for _ in range(20):
+            use(False)
+        self.assertEqual(use(True), (True, 0))
+        for _ in range(20):
+            last = use(True)
+        self.assertEqual(last, (False, 1))                          # not used, and closed
+        now += 60_000_000
+        self.assertEqual(use(False), (True, 0))                     # it has faded
+
+
 class Members(unittest.TestCase):
     LINE = json.dumps({"revision": 43, "complete": False, "members": [{"id": "s", "host_port": "1.2.3.4:70", "phase": "leaving", "cell": 3, "flavor": "m",
                                                                         "locality": "a", "size": 1.0, "up_since_ms": 5000}]}).encode() + b"\n"
