--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -184,7 +184,7 @@
             if taken is not None:
                 kept.tell(now, broke)
             return taken is not None, len(closing)
-        self.assertEqual([use(True), use(True)], [(True, 0)] * 2)   # little says little
+        self.assertEqual([use(True), use(False)], [(True, 0)] * 2)  # little says little
         for _ in range(20):
             use(False)
         self.assertEqual(use(True), (True, 0))
