--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -135,12 +135,12 @@
         self.linger()
 
     def _keeps(self):
-        return self.keep and not self.door.stopping
+        return self.keep and not self.door.leaving
 
     def _answered(self):
         self.req, self.since = None, clock.now()
         self.begun = self.since if self.begun is not None else None  # what came meanwhile begins now
-        if not self.keep or self.door.stopping:
+        if not self.keep or self.door.leaving:
             self.linger()
         elif self.events:
             self.go_on()
@@ -198,7 +198,8 @@
     def __init__(self, listen, most, groups, hands, counters, log):
         """`listen`: (host, port); `most`: connections that may be open; `groups`: names of endpoint groups."""
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
-        self.conns, self.stopping, self.begun = {}, False, False
+        self.conns, self.begun = {}, False
+        self.stopping = self.leaving = False  # not ready any more; connections end with their answers
         self.server = StreamServer(listen, self._accepted, backlog=1024)
 
     def start(self):
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -160,6 +160,14 @@
         out, which would lose its state."""
         self.engines.let_go(r.id, r.reader, self._others, after, lambda: not r.forwards and not r.holds)
 
+    def move_streams(self):
+        """Running streams end here; their clients ask for the rest at another front."""
+        for f in list(self.engines.out.values()):
+            if f.began:
+                self.counters["streams_moved"] += 1
+                self.engines.stop(f)
+                self._end(f, "cancelled", 0)
+
     # ---- ends of reqs ----
 
     def _finish(self, r, over, status=None, text=None, more=()):
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -21,6 +21,9 @@
 
 LOOK = 0.05             # seconds between looks at what no event tells
 STILL_COMING = 0.6      # seconds after SIGTERM in which new connections come: the platform's page says 0.4 at most
+# Microseconds after SIGTERM, of the 3.7 s that the page leaves before the kill (1.7 s less where deadlines are short: then the
+# kill does what moving would). Reqs taken later than 0.7 s have to be answered in that time
+SERVES_KEPT, MOVES = 2_000_000, 2_400_000
 CLIENTS, ENGINES = 0.5, 0.4  # shares of the descriptors: clients' reqs hold a third at most, the rest is for bad ones
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
@@ -123,21 +126,34 @@
         self.watch.move(codec.address(settings.discovery, "$.discovery"))
 
     def stop(self):
-        """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the process ends."""
+        """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the process ends.
+
+        Where clients ask for the rest of a stream that broke, other fronts of a rolling restart may be down just now: kept
+        connections are served for longer, and streams that the kill would cut move on before it, while others are up.
+        """
         if self.door.stopping:
             return
-        self.door.stopping = True
+        moves, begun = self.settings.get("streams_resume"), clock.now()
+        self.door.stopping, self.door.leaving = True, not moves
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
         gevent.sleep(STILL_COMING)
         self.door.server.close()
-        while any(r.over is None or r.forwards for r in self.reqs.values()) or self.engines.letting_go or any(conn.rest for conn in self.door.conns.values()):
-            self.door.close_idle()
+        while self.busy() or moves and clock.now() - begun < SERVES_KEPT:
+            if not moves or clock.now() - begun > SERVES_KEPT:
+                self.door.leaving = True
+                self.door.close_idle()
+            if moves and clock.now() - begun > MOVES:
+                self.move_streams()
             gevent.sleep(0.02)
         self.door.close_idle()
         gevent.sleep(0.05)  # the last answers' connections are read to their ends by their clients
         self.log.info("node_stopped", unanswered=sum(r.over is None for r in self.reqs.values()), **self.counters)
         self.done.set()
 
+    def busy(self):
+        return (any(r.over is None or r.forwards for r in self.reqs.values()) or self.engines.letting_go
+                or any(conn.rest for conn in self.door.conns.values()))
+
     # ---- what is believed, beside what the sockets hold ----
 
     def beliefs(self):
