--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -18,11 +18,12 @@
 
 
 class Forward:
-    """`n`: its number within the req; `at`: when it was decided; `heard`: when whole bytes of an answer last came."""
+    """`n`: its number within the req; `at`: when it was decided; `written`: when its bytes were; `began`: when its first event
+    came; `heard`: when whole events last did. All of the node's clock."""
 
     def __init__(self, req, n, engine, at, until):
         self.req, self.n, self.engine, self.at, self.until, self.heard = req, n, engine, at, until, at
-        self.greenlet, self.began, self.ended, self.written, self.load = None, False, False, None, None
+        self.greenlet, self.began, self.ended, self.written, self.load = None, None, False, None, None
         self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False       # part of an event or of a chunk has come
 
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -15,6 +15,7 @@
 # The same 5 s for a stream that is silent between events, where its client asks for the rest elsewhere. Where it doesn't,
 # cutting a stream that may still come would lose the req: then only its sockets are bounded
 SILENT_WITHIN, SILENT_AT_MOST = 4_500_000, 60_000_000
+LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
 LEAVES_NOTHING = ("read", "unreachable", "not sent", "full")  # any other end of a read may leave a state behind
 
 
@@ -121,7 +122,7 @@
         if not f.began:
             if r.over or r.streams:
                 raise Broke("cancelled", "late")
-            f.began, r.streams = True, f
+            f.began, r.streams = clock.now(), f
             self.desk.post("first_token", r.id, f.n, f.engine, clock.now() - f.at)
             for other in list(r.forwards.values()):
                 if other is not f:
@@ -160,13 +161,17 @@
         out, which would lose its state."""
         self.engines.let_go(r.id, r.reader, self._others, after, lambda: not r.forwards and not r.holds)
 
-    def move_streams(self):
-        """Running streams end here; their clients ask for the rest at another front."""
-        for f in list(self.engines.out.values()):
-            if f.began:
-                self.counters["streams_moved"] += 1
-                self.engines.stop(f)
-                self._end(f, "cancelled", 0)
+    def move_streams(self, after, moved, part):
+        """Running streams end here, and their clients ask for the rest at another front: those that would end after the time
+        `after`, by their clients' hints, latest first, until with `moved` before them `part` of all are. Returns how many."""
+        running = [(f.began + (f.req.ask.hint or LONG), f) for f in self.engines.out.values() if f.began]
+        late = sorted((pair for pair in running if pair[0] > after), key=lambda pair: -pair[0])
+        due = late[:max(math.ceil((moved + len(late)) * part) - moved, 0)]
+        for _, f in due:
+            self.counters["streams_moved"] += 1
+            self.engines.stop(f)
+            self._end(f, "cancelled", 0)
+        return len(due)
 
     # ---- ends of reqs ----
 
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -20,10 +20,11 @@
 from martenrouter.wire.platform import members
 
 LOOK = 0.05             # seconds between looks at what no event tells
-STILL_COMING = 0.6      # seconds after SIGTERM in which new connections come: the platform's page says 0.4 at most
+STILL_COMING = 600_000  # microseconds after SIGTERM in which new connections come: the platform's page says 0.4 at most
 # Microseconds after SIGTERM, of the 3.7 s that the page leaves before the kill (1.7 s less where deadlines are short: then the
-# kill does what moving would). Reqs taken later than 0.7 s have to be answered in that time
-SERVES_KEPT, MOVES = 2_000_000, 2_400_000
+# kill does what moving would). Reqs taken later than 0.7 s have to be answered in that time. Moves begin when no new connection
+# comes here any more, and are spread: all at once, they would be more than the other fronts' readers take
+SERVES_KEPT, MOVES, MOVED, LAST = 2_000_000, 1_500_000, 2_700_000, 3_300_000
 CLIENTS, ENGINES = 0.5, 0.4  # shares of the descriptors: clients' reqs hold a third at most, the rest is for bad ones
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
@@ -136,15 +137,18 @@
         moves, begun = self.settings.get("streams_resume"), clock.now()
         self.door.stopping, self.door.leaving = True, not moves
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
-        gevent.sleep(STILL_COMING)
-        self.door.server.close()
-        while self.busy() or moves and clock.now() - begun < SERVES_KEPT:
-            if not moves or clock.now() - begun > SERVES_KEPT:
+        moved = 0
+        while self.busy() or clock.now() - begun < (SERVES_KEPT if moves else STILL_COMING):
+            gone = clock.now() - begun
+            if gone > STILL_COMING:
+                self.door.server.close()
+            if gone > (SERVES_KEPT if moves else STILL_COMING):
                 self.door.leaving = True
                 self.door.close_idle()
-            if moves and clock.now() - begun > MOVES:
-                self.move_streams()
+            if moves and gone > MOVES:
+                moved += self.move_streams(begun + LAST if gone < LAST else 0, moved, min((gone - MOVES) / (MOVED - MOVES), 1))
             gevent.sleep(0.02)
+        self.door.server.close()
         self.door.close_idle()
         gevent.sleep(0.05)  # the last answers' connections are read to their ends by their clients
         self.log.info("node_stopped", unanswered=sum(r.over is None for r in self.reqs.values()), **self.counters)
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -82,7 +82,7 @@
     """One engine as this front knows it; a link is kept alike, as it too answers late or not at all."""
 
     def __init__(self, id):
-        self.id, self.up, self.role, self.memory, self.born = id, False, "", 0, 0
+        self.id, self.up, self.role, self.memory, self.born, self.left = id, False, "", 0, 0, False
         self.cell = self.zone = None
         self.waiting = {}       # forwards out that have neither started nor ended, oldest first
         self.pending = 0        # prompt tokens of those
@@ -162,9 +162,13 @@
             if (born or 0) > engine.born and phase == "up":
                 engine.forget()
             engine.up, engine.zone, engine.cell, engine.born = phase == "up", zone, cell, born or 0
+            engine.left = phase == "gone"
             engine.role, engine.memory = roles.get(kind, "both"), memory.get(kind, 0)
-        for id, engine in self.engines.items():
-            engine.up = engine.up and (id in named or scope == "changes")
+        for id, engine in list(self.engines.items()):
+            if id not in named and scope != "changes":
+                engine.up, engine.left = False, True
+            if engine.left and not engine.waiting and engine.streams < 1:
+                del self.engines[id]  # ids come and go all day: what left is forgotten after its last forward
 
     def follow_list(self):
         if self.settings.get("discovery") == "subscribe" and (  # again after a failure, ever later
@@ -198,7 +202,8 @@
     def resumed(self, id, *told):
         """An answer that paused for a tool; its state has waited at an engine; `here` goes on there."""
         self.arrived(id, *told[:-3])
-        r, engine, here, waited = self.reqs[id], self.engines[told[-3]], *told[-2:]
+        engine = self.engines.setdefault(told[-3], Engine(told[-3]))
+        r, here, waited = self.reqs[id], *told[-2:]
         r.stage, r.reader, r.clock, r.held = READ, engine, self.now - waited, True
         if here:
             way = engine.cell, "port"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -288,5 +288,17 @@
         self.assertLess(sum(sent), 8)
 
 
+class LongLife(unittest.TestCase):
+    def test_engines_that_left_are_forgotten_after_their_last_forward(self):
+        rig = Rig([row("r0", "rd"), row("w0", "wr")])
+        rig.ask(1)
+        for n in range(300):
+            rig.play(("listed", (n + 2, "changes", [row("r%d" % n, "rd", phase="gone"), row("r%d" % (n + 1), "rd")])))
+        self.assertEqual(set(rig.front.engines), {"r0", "r300", "w0"})  # r0 has a forward out
+        rig.end(1, 0, "read", "r0")
+        rig.play(("listed", (400, "whole", [row("r300", "rd"), row("w0", "wr")])))
+        self.assertEqual(set(rig.front.engines), {"r300", "w0"})
+
+
 if __name__ == "__main__":
     unittest.main()
