--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -24,7 +24,7 @@
 # Microseconds after SIGTERM, of the 3.7 s that the page leaves before the kill (1.7 s less where deadlines are short: then the
 # kill does what moving would). Reqs taken later than 0.7 s have to be answered in that time. Moves begin when no new connection
 # comes here any more, and are spread: all at once, they would be more than the other fronts' readers take
-SERVES_KEPT, MOVES, MOVED, LAST = 2_000_000, 1_500_000, 2_700_000, 3_300_000
+SERVES_KEPT, MOVES, MOVED, LAST = 2_000_000, 2_200_000, 2_900_000, 3_300_000
 BODIES = 1_000_000 // 4  # bytes for each MB of memory: a quarter of it; 3 MB of the usual bodies are on their way at once
 CLIENTS, ENGINES = 0.5, 0.25  # shares of the descriptors: clients' reqs hold a third at most, the rest is for bad ones
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
