--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -23,12 +23,6 @@
     def start(self, forward, hear):
         forward.greenlet = gevent.spawn(self.carry, forward, hear)
 
-    def stop(self, forward):
-        """Closes a forward that is out, of which the end has been said already, whatever its greenlet had got to."""
-        greenlet = forward.greenlet
-        if greenlet is not None and greenlet is not gevent.getcurrent():
-            greenlet.kill(Stopped, block=False)
-
     def release(self, engine, forward_id, trace):
         gevent.spawn(self.let_go, engine, forward_id, trace)
 
--- a/martenrouter/edge/lines.py
+++ b/martenrouter/edge/lines.py
@@ -68,3 +68,9 @@
             raise Broke("unreachable", str(why)) from why
         self.counters["connection_opened"] += 1
         return connection
+
+    def stop(self, forward):
+        """Closes a forward that is out, of which the end has been said already, whatever its greenlet had got to."""
+        greenlet = forward.greenlet
+        if greenlet is not None and greenlet is not gevent.getcurrent():
+            greenlet.kill(Stopped, block=False)
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -37,12 +37,9 @@
         self.out[forward.req.id, forward.n] = forward
         forward.greenlet = gevent.spawn(self._carry, forward, hear)
 
-    def stop(self, forward, why=Stopped):
-        """Closes a forward that is out, of which the end has been said already, unless `why` is a Broke that says it."""
+    def stop(self, forward):
         self.out.pop((forward.req.id, forward.n), None)
-        greenlet = forward.greenlet
-        if greenlet is not None and greenlet is not gevent.getcurrent():
-            greenlet.kill(why, block=False)
+        super().stop(forward)
 
     def _carry(self, f, hear):
         connection, clean, note = None, False, 0
