--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -41,6 +41,7 @@
     def __init__(self, settings, counters, log):
         self.settings, self.counters, self.log = settings, counters, log
         self.leaving = []
+        self.all_by = None      # a planned stop: when every answer has to be out, whatever deadline its client gave
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = {}, {}   # engine -> its phase and kind, as last told
 
@@ -48,12 +49,23 @@
 
     def arrived(self, conn, ask, at):
         """A whole req was read; `at`: when its first bytes were, the latest that it can have been sent."""
-        r = self.reqs[ask.id] = Req(ask, conn, at, at + ask.timeout)
+        deadline = at + ask.timeout if self.all_by is None else min(at + ask.timeout, self.all_by)
+        r = self.reqs[ask.id] = Req(ask, conn, at, deadline)
         self.counters["reqs"] += 1
+        self.log.debug("req_arrived", req=r.id, group=ask.group, session=ask.session, left=r.deadline - clock.now(), flags=ask.flags)
         self.desk.post("arrived", r.id, ask.group, None, ask.session, r.deadline, ask.hint, ask.prefix, ask.prompt,
                        ask.shared, ask.max_out, ask.flags)
         return r
 
+    def answer_all_by(self, at):
+        """Guards against a kill that comes before a deadline: reqs that are open and all that come later are to be answered by
+        then. A stream that has begun has no deadline any more."""
+        self.all_by = at
+        for r in self.reqs.values():
+            if r.over is None and r.streams is None and r.deadline > at:
+                r.deadline = at
+                self.desk.post("due", r.id, at)
+
     def client_left(self, r):
         if r.over is None:
             self._finish(r, "gone")
@@ -71,6 +83,7 @@
         f = Forward(r, r.used, engine, now, min(r.deadline, now + time_out) if time_out else r.deadline)
         r.used += 1
         r.forwards[f.n] = f
+        self.log.debug("forward", req=id, n=f.n, engine=engine)
         if r.over or engine not in self.engines.addresses:
             return self._end(f, "not sent", 0)
         if self.reads(engine):
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -13,6 +13,7 @@
 from martenrouter.node.door import Door
 from martenrouter.node.engines import Engines
 from martenrouter.node.hands import Hands
+from martenrouter.node.leaving import TimeLine
 from martenrouter.node.watch import Watch
 from martenrouter.rules import Front
 from martenrouter.settings import told
@@ -20,11 +21,6 @@
 from martenrouter.wire.platform import members
 
 LOOK = 0.05             # seconds between looks at what no event tells
-STILL_COMING = 600_000  # microseconds after SIGTERM in which new connections come: the platform's page says 0.4 at most
-# Microseconds after SIGTERM, of the 3.7 s that the page leaves before the kill (1.7 s less where deadlines are short: then the
-# kill does what moving would). Reqs taken later than 0.7 s have to be answered in that time. Moves begin when no new connection
-# comes here any more, and are spread: all at once, they would be more than the other fronts' readers take
-SERVES_KEPT, MOVES, MOVED, LAST = 2_000_000, 2_200_000, 2_900_000, 3_300_000
 BODIES = 1_000_000 // 4  # bytes for each MB of memory: a quarter of it; 3 MB of the usual bodies are on their way at once
 CLIENTS, ENGINES = 0.5, 0.25  # shares of the descriptors: clients' reqs hold a third at most, the rest is for bad ones
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
@@ -135,19 +131,22 @@
         """
         if self.door.stopping:
             return
-        moves, begun = self.settings.get("streams_resume"), clock.now()
+        line, begun = TimeLine(self.settings), clock.now()
+        moves = line.moves is not None
         self.door.stopping, self.door.leaving = True, not moves
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
+        self.answer_all_by(begun + line.answered)
         moved = 0
-        while self.busy() or clock.now() - begun < (SERVES_KEPT if moves else STILL_COMING):
+        while self.busy() or clock.now() - begun < line.kept:
             gone = clock.now() - begun
-            if gone > STILL_COMING:
+            if gone > line.coming:
                 self.door.server.close()
-            if gone > (SERVES_KEPT if moves else STILL_COMING):
+            if gone > line.kept:
                 self.door.leaving = True
                 self.door.close_idle()
-            if moves and gone > MOVES:
-                moved += self.move_streams(begun + LAST if gone < LAST else 0, moved, min((gone - MOVES) / (MOVED - MOVES), 1))
+            if moves and gone > line.moves:
+                part = min((gone - line.moves) / (line.moved - line.moves), 1)
+                moved += self.move_streams(begun + line.last if gone < line.last else 0, moved, part)
             gevent.sleep(0.02)
         self.door.server.close()
         self.door.close_idle()
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -235,6 +235,12 @@
         if stage == STARTED:
             self.live.pop(id, None)
 
+    def due(self, id, deadline):
+        """The front will be gone before its deadline: the answer has to be out sooner."""
+        r = self.reqs.get(id)
+        if r:
+            r.deadline, r.target = min(r.deadline, deadline), min(r.target, deadline)
+
     def over_share(self, r):
         """Whether its customer sends more than this front's part of the quota, with a second's allowance."""
         rate = (self.quota.get(r.customer) or 0) / self.fronts
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent import socket
 
+from martenrouter.node.leaving import TimeLine
 from martenrouter.wire import http
 from tests.sockets.node_rig import BODY, EVENTS, HEAD, SETTINGS, Agent, Engine, Rig, request
 
@@ -502,6 +503,37 @@
         self.ended(rig, process, log)
         rig.until(lambda: not rig.engines["w"].socks)
 
+    def test_planned_stop_answers_before_the_kill_whatever_the_deadline(self):
+        """Open reqs and one taken after SIGTERM: the kill would come long before the minute that their clients wait."""
+        for resume in (True, False):
+            rig = self.pair(write=hang, grades=[dict(SETTINGS["grades"][0], **{"deadline-us": 1_000_000})],
+                            **{"family-info": dict(SETTINGS["family-info"], resume=resume)})
+            process, address, log = self.begin(rig)
+            open_one, late = rig.client(address).ask("1" * 16, x_timeout_ms="60000"), rig.client(address)
+            rig.until(lambda: rig.engines["w"].calls)
+            process.send_signal(signal.SIGTERM)
+            late.ask("2" * 16, x_timeout_ms="60000")
+            for client in (open_one, late):
+                status, headers, _ = client.answer()
+                self.assertEqual((status, client.last), (503, True))
+                self.assertIn("retry-after", headers)
+            self.ended(rig, process, log)
+
+    def test_time_line_of_a_stop_follows_from_the_settings(self):
+        for deadlines, answered in (((4_000_000,), 3_500_000), ((1_000_000,), 1_500_000), ((500_000, 2_000_000), 2_500_000),
+                                    ((), 3_500_000), ((None,), 3_500_000)):
+            for resume in (True, False):
+                line = TimeLine({"groups": [{"deadline": one} for one in deadlines], "streams_resume": resume})
+                self.assertEqual(line.answered, answered)
+                self.assertLessEqual(line.coming, line.kept)
+                self.assertLess(line.kept, line.answered)
+                if resume:
+                    self.assertLess(line.moves, line.moved)
+                    self.assertLess(line.moved, line.last)
+                    self.assertLess(line.last, line.answered)
+                else:
+                    self.assertIsNone(line.moves)
+
     def test_bad_configuration_is_named(self):
         rig = self.pair()
         cases = (("{", "unusable"), ('{"name":"n"}', "listen"), ("[]", "unusable"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -41,6 +41,12 @@
         seen = rig.play(after=196_000)
         self.assertEqual((seen.all("push_back"), seen.all("let_go")), ([(1, 0)], [(1,)]))
 
+    def test_deadline_that_comes_sooner_is_kept(self):
+        rig = Rig([row("r1", "rd")])
+        rig.ask(1, last=5_000_000)
+        self.assertEqual(rig.play(("due", (1, rig.now + 300_000)), ("due", (9, rig.now)), after=200_000).all("push_back"), [])
+        self.assertEqual(len(rig.play(after=97_000).all("push_back")), 1)
+
     def test_no_double_effect(self):
         cases = (("replayable", "all", "timed out", "forward"), ("non-replayable", "", "timed out", "abort"),
                  ("non-replayable", "", "unreachable", "forward"), ("keyed", "all", "reset", "forward"),
