--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -52,7 +52,8 @@
         deadline = at + ask.timeout if self.all_by is None else min(at + ask.timeout, self.all_by)
         r = self.reqs[ask.id] = Req(ask, conn, at, deadline)
         self.counters["reqs"] += 1
-        self.log.debug("req_arrived", req=r.id, group=ask.group, session=ask.session, left=r.deadline - clock.now(), flags=ask.flags)
+        self.log.debug("req_arrived", req=r.id, group=ask.group, session=ask.session, left=r.deadline - clock.now(), flags=ask.flags,
+                       prefix=ask.prefix, prompt=ask.prompt, shared=ask.shared)
         self.desk.post("arrived", r.id, ask.group, None, ask.session, r.deadline, ask.hint, ask.prefix, ask.prompt,
                        ask.shared, ask.max_out, ask.flags)
         return r
