Kept connections to all engines bounded together, for fleets of hundreds of engines

Cause: node/life.py bounded kept connections for each engine as if there were sixteen (4 at least): with 1,024 engines 90 reqs kept more than a small front's descriptors allow. A seventh is what the clients' half and a third for forwards leave.

--- a/martenrouter/decisions/connections.py
+++ b/martenrouter/decisions/connections.py
@@ -15,9 +15,11 @@
     IDLE = 4_000_000  # engines in the field close idle connections after 5 s and more
     FADES = 4_000_000  # microseconds: as the module's own measure of troubles that last for some seconds
 
-    def __init__(self, most, idle=IDLE):
-        """`idle`: microseconds an unused one is kept, where the engines' own limit is known."""
-        self.most, self.within, self.idle = most, idle, {}  # engine -> [(since, connection)], oldest first
+    def __init__(self, most, idle=IDLE, total=None):
+        """`most` for one engine, `total` for all together; `idle`: microseconds an unused one is kept, where the engines' own
+        limit is known."""
+        self.most, self.total, self.within = most, total, idle
+        self.idle, self.count = {}, 0  # engine -> [(since, connection)], oldest first; how many there are
         self.used, self.broke = Sum(self.FADES), Sum(self.FADES)
 
     def tell(self, now, broke):
@@ -35,11 +37,13 @@
             return None, ()
         if not self.trusted(now):
             return None, self.forget(engine)
+        self.count -= len(kept)
         fresh = [pair for pair in kept if now - pair[0] < self.within]
         closing = [pair[1] for pair in kept if now - pair[0] >= self.within]
         connection = fresh.pop()[1] if fresh else None
         if fresh:
             self.idle[engine] = fresh
+            self.count += len(fresh)
         else:
             del self.idle[engine]
         return connection, closing
@@ -48,11 +52,27 @@
         """Back after use; returns those to be closed for it."""
         kept = self.idle.setdefault(engine, [])
         kept.append((now, connection))
-        return [kept.pop(0)[1]] if len(kept) > self.most else ()
+        self.count += 1
+        if len(kept) > self.most:
+            return self._drop(engine)
+        if self.total is not None and self.count > self.total:
+            # guards against hundreds of engines, each within its own bound: the one that is unused for longest goes
+            return self._drop(min(self.idle, key=lambda engine: self.idle[engine][0][0]))
+        return ()
+
+    def _drop(self, engine):
+        kept = self.idle[engine]
+        self.count -= 1
+        dropped = kept.pop(0)[1]
+        if not kept:
+            del self.idle[engine]
+        return [dropped]
 
     def forget(self, engine):
         """The engine left, or another process answers for it: nothing of the old one is used."""
-        return [connection for _, connection in self.idle.pop(engine, ())]
+        kept = self.idle.pop(engine, ())
+        self.count -= len(kept)
+        return [connection for _, connection in kept]
 
     def sweep(self, now):
         closing = []
@@ -60,6 +80,7 @@
             kept = self.idle[engine]
             while kept and now - kept[0][0] >= self.within:
                 closing.append(kept.pop(0)[1])
+                self.count -= 1
             if not kept:
                 del self.idle[engine]
         return closing
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -22,7 +22,9 @@
 
 LOOK = 0.05             # seconds between looks at what no event tells
 BODIES = 1_000_000 // 4  # bytes for each MB of memory: a quarter of it; 3 MB of the usual bodies are on their way at once
-CLIENTS, ENGINES = 0.5, 0.25  # shares of the descriptors: clients' reqs hold a third at most, the rest is for bad ones
+# Shares of the descriptors. Clients: their reqs hold a third at most, the rest is for bad ones. Kept connections to all engines
+# together: what the clients' half and a third for forwards that are out leave, less some for the list, the door and files
+CLIENTS, KEPT = 1 / 2, 1 / 7
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
@@ -38,7 +40,8 @@
         self.desk = Desk(Front(zlib.crc32(settings.seed.encode()), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
-        self.engines = Engines(Connections(max(int(sockets * ENGINES) // 16, 4), idle),
+        kept = int(sockets * KEPT)
+        self.engines = Engines(Connections(kept, idle, total=kept),
                                plain.get("connect_within", 250_000), self.counters, log)
         groups = {group.get("name") for group in plain["groups"]}
         self.door = Door(self.listen, int(sockets * CLIENTS), int(settings.limits.memory_mb * BODIES), groups, self, self.counters, log)
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -353,6 +353,29 @@
     "nothing": b"", "line ends": b"\r\n" * 100}
 
 
+class Size(Case):
+    def test_a_thousand_engines_within_the_descriptors_of_a_small_machine(self):
+        """All stand behind two sockets; half of them are told to drain on the way."""
+        rig = self.pair()
+
+        def members(phase="active", part=1):
+            return [dict(engine.member(phase), id="%s-%d" % (engine.id, i)) for engine in rig.engines.values()
+                    for i in range(0, 512, part)]
+        rig.agent.tell(2, members(), complete=True)
+        rig.until(lambda: len(rig.node.phases) == 1024)
+        client = rig.client()
+        for i in range(60):
+            self.assertEqual(client.ask("%016x" % i, x_route_key="k%d" % i).answer()[0], 200)
+        self.assertLess(rig.node.engines.kept.count, 40)
+        rig.agent.tell(3, members("leaving", 2))
+        rig.until(lambda: sum(phase == "draining" for phase in rig.node.phases.values()) == 512)
+        for i in range(60, 90):
+            self.assertEqual(client.ask("%016x" % i, x_route_key="k%d" % i).answer()[0], 200)
+        self.assertLess(rig.node.engines.kept.count, 40)
+        self.assertLess(rig.node.beliefs()["descriptors"], 256)
+        self.assertEqual(rig.node.desk.faults, 0)
+
+
 class BadClients(Case):
     def test_each_gets_an_error_or_a_close_and_no_engine_hears_of_it(self):
         rig = self.pair()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -184,6 +184,19 @@
         kept.give(10, "e", "f")
         self.assertEqual((kept.sweep(11), kept.sweep(Connections.IDLE + 10), kept.idle), ([], ["f"], {}))
 
+    def test_connections_to_all_engines_are_bounded_together(self):
+        kept, closed = Connections(9, total=10), []
+        for at in range(2000):
+            closed += kept.give(at, "e%d" % (at * 7 % 300), at)
+            if at % 3 == 0:
+                closed += kept.take(at, "e%d" % (at * 5 % 300))[1]
+            if at % 50 == 0:
+                closed += kept.forget("e%d" % (at * 7 % 300)) + kept.sweep(at)
+            self.assertEqual(kept.count, sum(map(len, kept.idle.values())))
+            self.assertLessEqual(kept.count, 10)
+            self.assertTrue(all(kept.idle.values()))
+        self.assertEqual(len(set(closed)), len(closed))
+
 
 class Whole(unittest.TestCase):
     """The chain under any order of events: each req taken gets exactly one final answer, and nothing after it."""
