After SIGTERM kept connections are served for less time the more fronts there are

Cause: each front served kept connections for 2 s after SIGTERM, then moved nearly every stream begun there: read anew elsewhere in an overload.

--- a/martenrouter/node/leaving.py
+++ b/martenrouter/node/leaving.py
@@ -20,7 +20,9 @@
         self.last = self.moves = self.moved = None
         if settings.get("streams_resume"):
             # Moves begin when no new connection comes here any more, and are spread: all at once, they would be more than the
-            # other fronts' readers take
-            self.kept = max(self.answered - 1_500_000, STILL_COMING)
+            # other fronts' readers take. With two fronts the other may be down just now, and kept connections are served for
+            # longer; the more there are, the sooner clients had better begin elsewhere what would only have to move
+            longer = max(self.answered - 1_500_000 - STILL_COMING, 0)
+            self.kept = STILL_COMING + longer // max(settings.get("fronts", 2) - 1, 1)
             self.moves = max(self.answered - 1_300_000, STILL_COMING)
             self.moved, self.last = self.answered - 600_000, self.answered - 200_000
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -556,6 +556,10 @@
                     self.assertLess(line.last, line.answered)
                 else:
                     self.assertIsNone(line.moves)
+        kept = [TimeLine({"groups": [{"deadline": 4_000_000}], "streams_resume": True, "fronts": n}).kept for n in (1, 2, 3, 200)]
+        self.assertEqual(kept[0], kept[1])
+        self.assertEqual(kept, sorted(kept, reverse=True))
+        self.assertGreater(kept[0], 3 * kept[3])
 
     def test_bad_configuration_is_named(self):
         rig = self.pair()
