--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -69,8 +69,8 @@
 
 
 def draw(key, id):
-    """The engine's weight for the key, alike at every front. No crc: it is linear, and which of some ids draws most
-    for a key would hang on the ids alone: of 44 one was home to nine times as many sessions as another."""
+    """The engine's weight for the key, alike at every front. No crc: it is linear, and the ids alone would say
+    which of them draws most: of 44 engines one was home to nine times as many sessions as another."""
     return int.from_bytes(blake2b(("%s %s" % (key, id)).encode(), digest_size=8).digest(), "big")
 
 
@@ -341,7 +341,7 @@
             f.engine.felt_at = self.now
 
     def in_vain(self, f):
-        """A forward that is ended without an answer was waited for all the same: left out, all would look quick."""
+        """A forward ended without an answer was waited for all the same: left out, all would look quick."""
         self.feel(f, self.now - f.sent)
         for pace in f.paces if f.roomy else ():
             pace.add(self.now, self.now - f.sent, f.tokens, self.unseen)
@@ -615,8 +615,8 @@
             return None, pace.expect(self.now, r.prompt), 0
         rank = {e.id: draw(r.home, e.id) for e in engines}
         # a prefix asked for more than a reader's even part has as many homes; the session says which, alike
-        # at every front. Ten reqs more than seen: a young front knows little, and never fewer than it makes of
-        # its first. Many fronts: as many homes as find it kept nine times in ten. Powers of two: fronts agree
+        # at every front. Ten reqs more than seen: a young front knows little, and never fewer than it makes
+        # of its first. Many fronts: as many homes as find it kept nine times in ten. Powers of two: all agree
         often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
         part = max(often / (self.asked_for.read(self.now) + 10), 1 / 11)
         count = 2 ** round(log2(1 + self.unseen * max(len(self.pool(True)) * part, often * self.fronts / 10)))
