--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -69,7 +69,7 @@
 
 
 def draw(key, id):
-    """The engine's weight for the key, alike at every front. No crc: it is linear, and the ids alone would say
+    """The engine's weight for the key, alike at every front. No crc: it is linear, the ids alone would say
     which of them draws most: of 44 engines one was home to nine times as many sessions as another."""
     return int.from_bytes(blake2b(("%s %s" % (key, id)).encode(), digest_size=8).digest(), "big")
 
