Groups, roles and limits follow the settings: ten assumptions removed

Rule 2 has one place that says whether any further forward may go (repeatable), used by sending, silence and answering at once; this replaces the answer for non-replayable reqs in outcome.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -278,21 +278,25 @@
         self.ended_waiting(f)
         if not f.reads:
             f.engine.streams -= f.tokens
-            self.drained.add(self.now, f.tokens if f.started else 0)
+            if ending == "done" and not f.started:  # it didn't stream: its end says what first tokens would
+                self.learn(f, elapsed)
+            self.drained.add(self.now, f.tokens if f.started or ending == "done" else 0)
             if ending not in NEVER_RAN and r.effect is None:
                 r.effect = f
-        if ending == "read":
-            self.learn(f, elapsed)
+        if ending == "read" or ending == "done" and not f.link:  # mixed engines read for themselves
             if (note or 0) + Pace.BASE < (r.prompt - f.cost) / 2:
                 f.engine.kept.clear()  # it has forgotten: what it kept of others is gone as well
             for key, tokens in ((r.prefix, r.shared), (r.session, r.prompt)):
                 if key:
                     remember(f.engine.kept, key, tokens)
+        if ending == "read":
+            self.learn(f, elapsed)
             r.held = True
         elif (ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started
               or ending == "full" and note != 1):
             f.engine.fail(self.now, 2 if ending == "unreachable" else 1)  # full too: one that drains
         f.engine.answered = self.now if ending in ("full", "done") else f.engine.answered
+        r.held = r.held and not (ending == "done" or ending == "full" and note == 1)
         if final or r.stage == ENDED:
             return self.finish(r)
         if r.stage == STARTED:
@@ -302,11 +306,8 @@
         elif f.reads:
             r.stage, r.banned = UNREAD, f.engine
         else:
-            r.held = r.held and not (ending == "full" and note == 1)
             r.clock = r.clock if ending == "unreachable" else self.now  # it never left: the state waits on
             r.stage, r.banned = READ if r.held else UNREAD, f.engine
-        if ending not in NEVER_RAN and not f.reads and r.group.get("effect") == "non-replayable":
-            self.give_up(r)
 
     def place(self, *_):
         """Places are not held ahead, fronts decide alone, and look at all they hold whatever wakes them."""
@@ -321,12 +322,15 @@
         engine = self.engines.get(engine_id)
         if engine and load:
             engine.load, engine.load_at, engine.streams_then = load, self.now, engine.streams
-            if "memory_share" in load and engine.role != "read":
+            if self.told_memory(load) is not None and engine.role != "read":
                 for key in (None, engine.cell):
                     total, count = self.told.setdefault(key, (Sum(4_000_000), Sum(4_000_000)))
-                    total.add(self.now, load["memory_share"])
+                    total.add(self.now, self.told_memory(load))
                     count.add(self.now, 1)
 
+    def told_memory(self, load):
+        return (load or {}).get("memory_share") if self.settings.get("memory_told", True) else None
+
     def ended_waiting(self, f):
         """Credit comes back here, exactly once: with the first token or the end, if not by the lapse."""
         if f.engine.waiting.pop((f.req.id, f.n), None):
@@ -344,7 +348,7 @@
         """A forward ended without an answer was waited for all the same: left out, all would look quick."""
         self.feel(f, self.now - f.sent)
         for pace in f.paces if f.roomy else ():
-            pace.add(self.now, self.now - f.sent, f.tokens, self.unseen)
+            pace.add(self.now, max(self.now - f.sent - f.tail, 0), f.tokens, self.unseen)
 
     def pending(self, engine):
         return engine.pending + self.unseen * engine.felt * 0.5 ** ((self.now - engine.felt_at) / 4e6)
@@ -361,7 +365,7 @@
                 if f.roomy:  # a wait for memory says nothing of how fast the engine is
                     way.judge(self.now, elapsed / f.expected)
         for pace in f.paces if f.roomy else ():
-            pace.add(self.now, elapsed, f.tokens)
+            pace.add(self.now, max(elapsed - f.tail, 0), f.tokens)
 
     def cost(self, engine, r):
         """Prompt tokens that this reader would have to read, less what it probably has kept."""
@@ -386,6 +390,8 @@
             self.cancel(f)
         if r.held:
             self.let_go(r)
+            # one that can't be cancelled may keep the state and leave it: let go again with its outcome
+            r.held = any(not f.cancelled for f in r.out.values())
         if not r.out:
             self.reqs.pop(r.id, None)
 
@@ -395,15 +401,20 @@
         ran = r.effect or r.out  # a read counts too while it is out
         return effect == "replayable" or not ran or effect == "keyed" and r.group.get("repeat_scope") == "all"
 
+    def repeatable(self, r):
+        """Rule 2: whether a further forward of this req may go anywhere at all."""
+        effect, ran = r.group.get("effect"), r.effect or next(iter(r.out.values()), None)
+        if effect != "keyed" or ran is None:
+            return effect == "replayable" or ran is None
+        return self.now < ran.sent + r.group.get("repeat_window", 0) - 2 * self.round_time
+
     def may_send(self, r, engine):
-        """Rule 2: where a further forward of this req may go."""
-        effect = r.group.get("effect")
+        """Rule 2: whether it may go to this engine."""
         ran = r.effect or next(iter(r.out.values()), None)
-        if effect == "replayable" or ran is None:
+        if r.group.get("effect") == "replayable" or ran is None:
             return True
         same = {"all": True, "zone": engine.zone == ran.engine.zone, "cell": engine.cell == ran.engine.cell}
-        known_until = ran.sent + r.group.get("repeat_window", 0) - 2 * self.round_time
-        return effect == "keyed" and self.now < known_until and same.get(r.group.get("repeat_scope"), False)
+        return self.repeatable(r) and same.get(r.group.get("repeat_scope"), False)
 
     def give_up(self, r):
         """The final answer, at once."""
@@ -516,7 +527,7 @@
         own, each = self.own_held()
         others = (self.fronts - 1) / (1 + 10 * (1 - 1 / self.fronts) * each)
         share += (engine.streams / engine.memory - own) * (1 + others)
-        told = (engine.load or {}).get("memory_share")
+        told = self.told_memory(engine.load)
         if told is not None:
             trust = exp(-(self.now - engine.load_at) / 4e6)  # about as long as an answer holds its memory
             share += trust * (told + (engine.streams - engine.streams_then) / engine.memory - share)
@@ -542,7 +553,10 @@
             whole, way = (pace.expect(self.now, f.tokens) for pace in f.paces)
             f.expected = whole + self.unseen * (way - whole)  # thin: a slow link looks like slow writers
             r.stage = WRITING
-        f.expected = max(f.expected / self.warmth(engine), 1)
+        # without a stream the first that is told is the end: the answer's own time, no pace of engines
+        whole = not reads and not r.group.get("stream", True)
+        f.tail = r.answer * (r.group.get("token_target") or 50_000) if whole else 0
+        f.expected = max(f.expected / self.warmth(engine), 1) + f.tail
         engine.waiting[(r.id, f.n)] = f
         if self.strain(engine) >= 3:
             engine.tested = self.now
@@ -551,7 +565,7 @@
         if link:
             link.waiting[(r.id, f.n)] = f
             link.tested = self.now
-        again = reads or r.group.get("effect") == "replayable"
+        again = reads or self.repeatable(r)
         last = r.used >= self.cap or self.settings.get("may_cancel") or not again  # else patience goes along
         self.out.forward(r.id, engine.id, 0 if last else int(self.silence(f)))
 
@@ -562,17 +576,20 @@
         """Cancels what an engine sits on, and answers what can no longer be served."""
         for r in list(self.live.values()):
             missed = self.now > r.target and any(not f.roomy for f in r.out.values()) and self.harmless(r)
-            if self.now >= self.answer_by(r) or missed:
+            # what no engine may get any more is not sat on; one that is out may still be answered
+            over = r.stage in (UNREAD, READ) and not self.repeatable(r)
+            if self.now >= self.answer_by(r) or missed or over:
                 self.give_up(r)
                 continue
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
             for f in r.out.values():
-                again = f.reads or r.group.get("effect") == "replayable"
+                again = f.reads or self.repeatable(r)  # else it may have run: waited for to the deadline
                 if not again or f.cancelled or self.now - f.sent < self.silence(f):
                     continue
                 # hung: silent while peers answered; lost: one sent later was answered. Else it is only behind
-                peers = any(e.answered > f.sent for e in self.pool(f.reads) if e is not f.engine)
+                peers = any(e.answered > f.sent and (f.reads or self.may_send(r, e))
+                            for e in self.pool(f.reads) if e is not f.engine)
                 if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
                     for way in (f.engine, f.link):
                         if way and (way.answered < f.sent or way is f.engine and way.served_to > f.sent):
@@ -594,6 +611,7 @@
         for r in self.live.values():
             if r.stage in (READ, WRITING) and r.reader:
                 self.parked[r.reader.id] = self.parked.get(r.reader.id, 0) + r.prompt
+        steps = 2 if any(e.role == "read" for e in self.pool(True)) else 1  # alone they read and answer
         for r in unread:
             need = r.prompt + r.answer
             engine, alone, wait = self.pick_reader(r)
@@ -601,7 +619,7 @@
             # what waits here can be told to come back, so nothing is sent into a wait of three fifths of the
             # target. None passes one of higher rank: the small would starve the large
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
-            able = r.used + 2 <= self.cap
+            able = r.used + steps <= self.cap
             if engine and able and not blocked and (not self.pending(engine) or wait <= self.patience(r)):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
@@ -674,8 +692,9 @@
         return r.deadline - 2 * self.round_time - 2000  # two rounds early, so that the answer is out in time
 
     def release_at(self, r):
-        # shortly before: two rounds and a tenth of the limit
-        return r.clock + self.release_within - 2 * self.round_time - self.release_within // 10
+        # shortly before: two rounds and a tenth of the limit; a long one holds no longer than the target
+        limit = min(self.release_within, r.target - r.arrived)
+        return r.clock + limit - 2 * self.round_time - limit // 10
 
     def way(self, r, engine):
         return "port" if r.reader.cell == engine.cell else "out"
--- a/martenrouter/settings/told.py
+++ b/martenrouter/settings/told.py
@@ -1,7 +1,8 @@
 """The settings that the operators hand to an instance, as a plain map in our words; the standard library only.
 
 They come in two forms of one object: path=value pairs in the simulator's first message, nested JSON in a front node's
-configuration. The nested form is turned into the pairs, so one translator makes the module's map of both.
+configuration. The nested form is turned into the pairs, so one translator makes the module's map of both. What the module
+counts with is checked here, so that a bad value is refused at the start and fails no round later.
 """
 
 
@@ -42,7 +43,28 @@
           "window-us": "repeat_window", "importance": "importance", "late-worth": "late_importance",
           "aim-stretch": "target_stretch", "quota-rps": "quota_per_s"}
 EFFECTS = {"free": "replayable", "guarded": "keyed", "single_shot": "non-replayable"}
+WORDS = {"zone", "zones", "kinds", "load_names", "role_by_kind", "repeat_scope"}  # names: `7` is one too
 LISTS = {"zones", "kinds", "load_names", "target_per_1000_prompt", "memory_by_kind", "role_by_kind", "token_target"}
+FLAGS = {"writers_read", "may_hold", "streams_resume", "may_cancel", "may_probe", "may_copy", "may_advise", "may_tell", "stream"}
+ONE_OF = {"role_by_kind": ("read", "write", "both"), "discovery": ("automatic", "subscribe"), "repeat_scope": ("all", "zone", "cell")}
+# no setting of the wire goes below 0
+NUMBERS = {"fronts", "round", "over_share_importance", "target_per_1000_prompt", "memory_by_kind", "release_within", "token_target",
+           "forwards_cap", "advice_cap", "connect_within", "idle_within", "cold_share", "warm_within", "cold_multiple", "cold_window",
+           "drain_within", "ask_within", "answer_slack", "deadline", "target", "repeat_window", "importance", "late_importance",
+           "quota_per_s"}
+MOST_ITEMS = 10_000  # groups or customers
+
+
+def _checked(path, ours, text):
+    """The value of a setting; raises Unreadable, saying where and the mend."""
+    value = text if ours in WORDS else _plain(text)
+    if ours in ONE_OF and value not in ONE_OF[ours]:
+        raise Unreadable("setting %s is %r; write one of: %s" % (path, text[:60], ", ".join(ONE_OF[ours])))
+    if ours in FLAGS and not isinstance(value, bool):
+        raise Unreadable("setting %s is %r; write true or false" % (path, text[:60]))
+    if ours in NUMBERS and (isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0):
+        raise Unreadable("setting %s is %r; write a number, 0 or more" % (path, text[:60]))
+    return value
 
 
 def _plain(text):
@@ -63,20 +85,29 @@
         path, sign, text = part.partition("=")
         if not sign:
             raise Unreadable("up has a setting without a value: %s" % path)
+        if text == "-":  # an absent value is as if it were not given
+            continue
         head, _, rest = path.partition(".")
         index, _, field = rest.partition(".")
         if head in ITEMS and index.isdigit():
             items = told[ITEMS[head]]
-            while len(items) <= int(index) < 10000:
+            if int(index) >= MOST_ITEMS:
+                raise Unreadable("setting %s: more than %d of them; give fewer" % (path, MOST_ITEMS))
+            while len(items) <= int(index):
                 items.append({})
-            value = EFFECTS.get(text, text) if field == "effect" else text if field == "name" else _plain(text)
-            items[int(index)][FIELDS.get(field, field)] = value
+            if field == "effect" and text not in EFFECTS:
+                raise Unreadable("setting %s is %r; write one of: %s" % (path, text[:60], ", ".join(EFFECTS)))
+            ours = FIELDS.get(field, field)
+            items[int(index)][ours] = EFFECTS[text] if field == "effect" else text if field == "name" else _checked(path, ours, text)
         elif head not in ITEMS:
             ours = NAMES.get(path, path)
             if ours in LISTS:
-                told[ours] = [_plain(item) for item in text.split(",")] if text else []
+                told[ours] = [_checked(path, ours, item) for item in text.split(",")] if text else []
             else:
-                told[ours] = _plain(text)
+                told[ours] = _checked(path, ours, text)
+    meaning = told.get("family-info.report-x0")
+    if meaning is not None and "memory" not in str(meaning):
+        told["memory_told"] = False  # else a report of something else would be read as the share of memory held
     return told
 
 
