--- a/tests/test_unmet_settings.py
+++ b/tests/test_unmet_settings.py
@@ -111,6 +111,48 @@
         self.assertEqual(front.engines[home].kept, {"s": 6500})
 
 
+class AnsweredAtOnce(unittest.TestCase):
+    """docs/assumptions.md, "Waiting, path by path": when each path answers, against a deadline of 30 s."""
+
+    def waited(self, rig, *calls):
+        """Microseconds until the answer, rounds being 2 ms apart; None when it takes over 5 s."""
+        begun, seen = rig.now, rig.play(*calls)
+        while not answers(seen) and rig.now - begun < 5_000_000:
+            seen = rig.play()
+        return rig.now - begun if answers(seen) else None
+
+    def test_each_path_answers_as_soon_as_no_forward_can_serve_it(self):
+        def asked(rows=None, **settings):
+            rig = Rig(rows, **settings)
+            rig.ask(1, last=30_000_000)
+            return rig
+
+        def written(note, **settings):
+            rig = asked(**settings)
+            rig.end(1, 0, "read", "r1")
+            return rig, ("outcome", (1, 1, "full", "w1", 1000, False, note, None))
+
+        def joined(**settings):
+            rig = Rig(**settings)
+            for id in (1, 2):  # the first holds all the credit of the port; the second joins the queue without
+                rig.ask(id, session="s%d" % id, prompt=30_000, last=30_000_000)
+                rig.end(id, 0, "read", "r1")
+            return rig
+        used, full = written(0, forwards_cap=2)
+        gone, lost = written(1, forwards_cap=3)
+        target = 1_000_000 + 40_000
+        for path, rig, calls, least, most in (
+                ("forwards used up at a writer", used, [full], 0, 2000), ("too few left to read anew", gone, [lost], 0, 2000),
+                ("no reader is up", asked([row("w1", "wr")]), [], target // 2, target),
+                ("all readers drain", asked([row("r1", "rd", phase="draining"), row("w1", "wr")]), [], target // 2, target),
+                ("no writer is up", asked([row("r1", "rd")], forwards_cap=2), [("outcome", (1, 0, "read", "r1", 1000, False, 0, None))], 0, target),
+                ("joined a queue, target passed", joined(), [], target // 2, 2_300_000),
+                ("joined a queue, no cancel", joined(may_cancel=False), [], target // 2, 2_300_000)):
+            with self.subTest(path=path):
+                took = self.waited(rig, *calls)
+                self.assertTrue(took is not None and least <= took <= most, took)
+
+
 class Held(unittest.TestCase):
     def test_a_state_waits_no_longer_than_the_response_target_allows(self):
         # guards against a release limit of minutes: reqs would wait for room until their deadline
