A late link is used where readers stand in one cell and there is no other way

Ruled out: the stuck client, admission, the list. At fault: place_states, the line that makes ways: links are left at an absolute strain of 3, and with one cell nothing else leads to a writer; states were read three times in vain. Change: there all ways are used when none that leads to a writer is well.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -675,6 +675,7 @@
 
     def place_states(self):
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank)
+        cells = {e.cell for e in self.pool(True)}
         for r in waiting:
             if r.used >= self.cap:
                 self.give_up(r)
@@ -684,6 +685,8 @@
             ids = {way: (r.reader.cell, way) for way in ("port", "out")}
             links = {way: self.links.setdefault(id, Engine(id)) for way, id in ids.items()}
             ways = [key for key, link in links.items() if self.strain(link) < 3 or self.due_test(link)]
+            if len(cells) < 2 and not any(self.way(r, e) in ways for e in engines):
+                ways = list(links)  # nowhere else to read it anew, and a late link may only be behind
             funds = [key for key in ways if self.has_credit(r, links[key])]
             paid = [e for e in engines if self.way(r, e) in funds]
             engines = [e for e in engines if self.way(r, e) in ways]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -306,6 +306,28 @@
         self.assertIn(("cancel", far, 1), seen)
         self.assertEqual([d for d in rig.end(far, 1, "cancelled", "w1") if d[0] == "forward" and d[1] == far], [])
 
+    def test_a_late_link_is_used_where_there_is_no_other(self):
+        # guards against a fleet of one cell that reads all thrice and refuses it, while its one link is only late
+        for cells, sent in (((0, 0), True), ((0, 1), False)):
+            with self.subTest(cells=cells):
+                rig = Rig([row("r%d" % i, "rd", cell=cell) for i, cell in enumerate(cells)] + [row("w1", "wr")])
+                out = {}
+                for id in range(12):
+                    (_, out[id], _), = rig.ask(id, prompt=10, session="s%d" % id, last=60_000_000).all("forward")
+                for id, reader in out.items():
+                    rig.end(id, 0, "read", reader, after=10)
+                for id, reader in out.items():  # a spell in which first tokens come a second late
+                    rig.play(("first_token", (id, 1, "w1", 1_000_000)), after=80_000 if id == 0 else 10)
+                    rig.end(id, 1, "done", "w1", final=True, after=10)
+                link = rig.front.links[0, "port"]
+                self.assertTrue(rig.front.strain(link) >= 3 and not rig.front.due_test(link))
+                (_, reader, _), = rig.ask(99, prompt=10, session="s", last=60_000_000).all("forward")
+                seen = rig.end(99, 0, "read", reader)
+                for _ in range(200):
+                    seen += rig.play(after=2000)
+                self.assertEqual([f[1] for f in seen.all("forward")][:1] == ["w1"], sent)
+                self.assertEqual(len(seen.all("let_go")), 0 if sent else 1)
+
     def test_room_at_a_failing_writer_does_not_count(self):
         for failed, reads in ((0, True), (2, False)):
             with self.subTest(failed=failed):
