One release clock at edge and module; silent cells alone; used-up forwards asked of once

Found on reading the change again. edge/hands.py keeps the release clock as a fact of its own (since): a reset began it anew, so a decider that took over would have held a state longer than the one before; it follows the module now, with a test of both that fails without. place_states asked for used-up forwards twice, and for usable engines when none was to be used.

--- a/martenrouter/edge/hands.py
+++ b/martenrouter/edge/hands.py
@@ -322,8 +322,8 @@
             self._release(forward.engine, forward.id, r)
         now = clock.now()
         elapsed = now - forward.sent
-        if ending != "unreachable":
-            r.since = now  # one that never left changes nothing for what is held
+        if ending != "unreachable":  # one that never left changes nothing for what is held, and a reset may not have come there
+            r.since = r.since + elapsed if ending == "reset" else now  # as the module's release clock: rules.py, outcome
         if forward.role != "read" and r.effect is None and ending not in NEVER_RAN and forward.leg == r.leg_id:
             r.effect = forward.n, forward.engine, forward.sent
         if forward.usage is not None:
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -164,11 +164,12 @@
 
     def _let_go_now(self, id, engine, others):
         self.counters["let_go"] += 1
+        tried = None
         for _ in range(LET_GO_TRIES):
-            engine = engine or next(iter(others()), None)
+            engine = engine or next((other for other in others() if other != tried), tried)
             if self._asked_to_let_go(id, engine):
                 return
-            engine = next((other for other in others() if other != engine), engine)
+            engine, tried = None, engine
         self.counters["let_go_failed"] += 1
         self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
 
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -311,9 +311,8 @@
             out = {"unreachable": 0, "not sent": 0, "reset": self.now - f.sent}  # may never have come there:
             r.clock = r.clock + out[ending] if ending in out else self.now  # its state waits on
             r.stage, r.banned = READ if r.held else UNREAD, f.engine
-        if ending == "unreachable" and elapsed >= self.settings.get("connect_within", 1):  # not even refused
-            zones = {e.zone for e in self.pool(f.reads)}  # its like may be cut off, and would cost as long
-            r.shunned = f.engine.zone if len(zones) > 1 else f.engine.cell
+        if ending == "unreachable" and elapsed >= self.settings.get("connect_within", 1):  # not even refused:
+            r.shunned = f.engine.cell  # others there may be cut off too, and would cost as long
 
     def place(self, *_):
         """Places are not held ahead, fronts decide alone, and look at all they hold whatever wakes them."""
@@ -474,7 +473,7 @@
         good, strains = self.fit(reads)
         fresh = not r.effect and not r.out  # asked of every engine for every req that is held, in each round
         able = [e for e in good if (fresh or self.may_send(r, e)) and (not e.born or self.cold_room(e, r))]
-        other = [e for e in able if e is not r.banned and r.shunned not in (e.cell, e.zone or -1)]
+        other = [e for e in able if e is not r.banned and e.cell != r.shunned]
         return other or [e for e in able if e is not r.banned] or able, strains
 
     def due_test(self, way):
@@ -679,10 +678,10 @@
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank)
         cells = {e.cell for e in self.pool(True)}
         for r in waiting:
-            last = r.used >= self.cap or self.now >= self.release_at(r)
-            engines, strains = self.usable(False, r)
-            if r.used >= self.cap or self.now > r.clock + self.release_within:
-                engines = []  # held on by forwards that never left: each further one may take as long to fail
+            # past the limit forwards that never left have held it: each further one may take as long to fail
+            over = r.used >= self.cap or self.now > r.clock + self.release_within
+            last = over or self.now >= self.release_at(r)
+            engines, strains = ([], {}) if over else self.usable(False, r)
             ids = {way: (r.reader.cell, way) for way in ("port", "out")}
             links = {way: self.links.setdefault(id, Engine(id)) for way, id in ids.items()}
             ways = [key for key, link in links.items() if self.strain(link) < 3 or self.due_test(link)]
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -46,6 +46,16 @@
     return script
 
 
+class Deaf(Engine):
+    """Answers no call to let go."""
+
+    def _call(self, sock, head, body):
+        if head.method == "DELETE":
+            self.released.append("in vain")
+            gevent.sleep(60)
+        super()._call(sock, head, body)
+
+
 class Case(unittest.TestCase):
     def rig(self, *engines, **settings):
         self.it = Rig(*engines, **settings)
@@ -238,13 +248,6 @@
 
     def test_state_of_a_silent_read_goes_by_an_engine_that_answered_lately(self):
         # guards against a call made first at the engine that has just been silent, which costs the time that the state has left
-        class Deaf(Engine):
-            def _call(self, sock, head, body):
-                if head.method == "DELETE":
-                    self.released.append("in vain")
-                    gevent.sleep(60)
-                super()._call(sock, head, body)
-
         def then_silent(engine, sock, call, nth):
             return engine.answer(sock, call) if nth == 1 else hang(engine, sock, call, nth)
         rig = self.rig(Deaf("r", "prefill", script=then_silent), Engine("w", "decode"))
@@ -255,11 +258,6 @@
         self.assertEqual(rig.engines["r"].released, [])
 
     def test_call_that_fails_is_made_at_another_engine(self):
-        class Deaf(Engine):
-            def _call(self, sock, head, body):
-                if head.method == "DELETE":
-                    gevent.sleep(60)
-                super()._call(sock, head, body)
         rig = self.rig(Deaf("r", "prefill"), Engine("w", "decode", script=hang))
         client = rig.client().ask()
         rig.until(lambda: rig.engines["w"].calls)
--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -1,9 +1,13 @@
 """A decider rebuilt from facts goes on where the one before it was: the module's `adopted`, what was learnt, the chain."""
 import unittest
+from unittest.mock import Mock
 
 from martenrouter.decisions.chain import Chain
 from martenrouter.decisions.learnt import export, put
 from martenrouter.decisions.takeover import Restarts, Takeover
+from martenrouter.edge import clock
+from martenrouter.edge.facts import Forward, Req
+from martenrouter.edge.hands import Hands
 from martenrouter.rules import READ, READING, STARTED, UNREAD, WRITING, Front
 from martenrouter.settings import front as settings_of
 from tests.helpers import SETTINGS, Rig, Seen, row
@@ -47,6 +51,26 @@
             rig.front.listed(2, "changes", [row("w1", "wr", phase="gone"), row("w2", "wr", phase="gone")])
             self.assertEqual(rig.play().all("let_go"), [(1,)] if last else [])
 
+    def test_the_edges_release_clock_is_the_modules(self):
+        # guards against a decider that takes over and holds a state longer than the one before it would have
+        for ending, goes_on in (("unreachable", True), ("reset", True), ("full", False), ("error", False)):
+            with self.subTest(ending=ending):
+                told = {"name": "f", "groups": [{"name": "chat", "effect": "replayable"}], "list": {"file": "-"}}
+                hands = Hands(settings_of.check(told, "test"), lambda *_, **__: None, Mock())
+                hands.desk = Mock()
+                r = Req(1, clock.now())
+                r.max_tokens, r.tools, r.since = 10, None, clock.now() - 200_000_000  # read 200 s ago, sent on just now
+                f = Forward(r, r.leg_id, 1, "f-1", "w1", "write", 0, clock.now() - 1000, None)
+                r.forwards[f.leg, f.n] = f
+                hands.ended(f, ending, 0)
+                rig = Rig(ROWS, release_within=60_000_000, forwards_cap=9)
+                rig.ask(1, last=900_000_000)
+                (_, writer, _), = rig.end(1, 0, "read", "r1").all("forward")
+                rig.front.reqs[1].clock -= 200_000_000
+                rig.front.turn(rig.now + 1000, [("outcome", (1, 1, ending, writer, 1000, False, 0, None))], Seen())
+                held = clock.now() - r.since, rig.now + 1000 - rig.front.reqs[1].clock
+                self.assertEqual([waited > 100_000_000 for waited in held], [goes_on] * 2, held)
+
     def test_what_may_have_run_binds_the_next_one(self):
         groups = [{"name": "chat", "effect": "keyed", "repeat_scope": "cell", "repeat_window": 9_000_000, "target": 1_000_000}]
         rows = [row("r1", "rd"), row("w1", "wr", cell=1), row("w2", "wr")]
