What clients say to whoever serves them is passed on: the key of a keyed group's reqs

A probe that logged heads shows that reqs of its keyed group bring `idempotency-key`; wire/platform/answers.py made the forward's head of three lines of its own. Change: head lines go on as a proxy passes them (RFC 9110, 7.6.1): all but the hop's own, those that Connection names, host, length, time-out (this node's own word) and accept-encoding (the events are read here). Over 8 KiB of them: 431. Test: test_what_the_client_says_to_whoever_serves_it_is_passed_on, fails before.

--- a/martenrouter/wire/http.py
+++ b/martenrouter/wire/http.py
@@ -81,7 +81,7 @@
 
 
 PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
-           410: "Gone", 412: "Precondition Failed", 413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+           410: "Gone", 412: "Precondition Failed", 413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
            504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
 
 
--- a/martenrouter/wire/platform/answers.py
+++ b/martenrouter/wire/platform/answers.py
@@ -24,9 +24,8 @@
 
 def request(ask, host, patience):
     """The req as an engine gets it, as bytes; `patience`: microseconds that the node will wait."""
-    return http.request("POST", ask.target, host, (
-        ("content-type", "application/json"), ("x-request-id", ask.id),
-        ("x-timeout-ms", max(patience // 1000, 1))), ask.body)
+    typed = () if any(name == "content-type" for name, _ in ask.headers) else (("content-type", "application/json"),)
+    return http.request("POST", ask.target, host, (*ask.headers, *typed, ("x-timeout-ms", max(patience // 1000, 1))), ask.body)
 
 
 def let_go(id, host):
--- a/martenrouter/wire/platform/asks.py
+++ b/martenrouter/wire/platform/asks.py
@@ -9,6 +9,11 @@
 ID = re.compile(r"[0-9A-Za-z_.-]{1,64}\Z")  # ids are 16 hex digits; all that is safe in a path and a head is passed on
 TIMEOUT_LIMIT = 86_400_000  # ms: a day; more is no wait that a client means
 CHARACTERS = 4              # make a token, by the protocol's page
+# What a proxy takes out of a head (RFC 9110, 7.6.1) besides what the connection's own names, and what it says itself; all else is the
+# client's word to whoever serves it, such as the key by which a repeat is known
+NOT_PASSED_ON = frozenset("connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer transfer-encoding upgrade "
+                          "expect host content-length x-timeout-ms accept-encoding".split())  # the last: its events are read here
+PASSED_ON_LIMIT = 8 * 1024  # bytes of head lines passed on: servers in the field take 8 KiB and more
 HINTED, REPEAT, REST = 1, 2, 16  # bits that the module gets: a hint is there, a client's repeat, asks for the rest
 
 
@@ -21,9 +26,9 @@
 
 
 class Ask:
-    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session` may be None; lengths in tokens."""
+    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session` may be None; lengths in tokens; `headers`: pairs to pass on."""
     __slots__ = ("id", "group", "session", "timeout", "hint", "prefix", "prompt", "shared", "max_out", "flags", "target",
-                 "body")
+                 "headers", "body")
 
 
 class _Body(msgspec.Struct):
@@ -57,6 +62,14 @@
     if head.headers.get("x-priority-class") not in groups:
         raise BadAsk(400, "X-Priority-Class names no class: %r" % head.headers.get("x-priority-class", "")[:40])
     _whole(head.headers.get("x-timeout-ms", ""), "X-Timeout-Ms", TIMEOUT_LIMIT)
+    if sum(len(name) + len(value) + 4 for name, value in passed_on(head)) > PASSED_ON_LIMIT:
+        raise BadAsk(431, "head lines over %d bytes" % PASSED_ON_LIMIT)
+
+
+def passed_on(head):
+    """Pairs of the head lines that go to an engine as they came."""
+    left_out = NOT_PASSED_ON.union(name.strip().lower() for name in head.headers.get("connection", "").split(","))
+    return [pair for pair in head.headers.items() if pair[0] not in left_out]
 
 
 def ask(head, body):
@@ -68,7 +81,7 @@
         raise BadAsk(400, "the body is not a chat completion: %s" % why)
     a = Ask()
     a.id, a.group, a.session = get("x-request-id"), get("x-priority-class"), get("x-route-key") or None
-    a.target, a.body = head.path, body
+    a.target, a.headers, a.body = head.path, passed_on(head), body
     a.timeout = int(get("x-timeout-ms")) * 1000
     extras = dict(part.strip().partition("=")[::2] for part in get("x-attrs", "").split(",") if part.strip())
     a.prefix = extras.get("prefix") or None
