Many reqs at once on a connection: back-pressure in place of a close over the open one

Found by reading, forced on sockets: Conn.read returned when over 16 reqs waited, which ended the connection with a req open on it; `_raw` of messages.py added up over messages that end in mid-piece (400 for the eleventh of twenty reqs of 100 KB); 3,000 short ones ran into the recursion limit; a deadline began anew when its req's turn came; a client's close behind unread bytes was not seen (Line.ended looked at the first byte only). Deadlines count from the bytes. Room for a newcomer: not by a connection on which something has come, half a req only when it is older than 1 s; a newcomer over the bound is read on for a moment; what is turned away over a bound is told a time only where the settings allow it. A first req in pieces on a connection that had been silent is not cut off at 2.2 s.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -3,11 +3,14 @@
 gevent's own socket tries to read before it waits; on a stream that sends a token each fiftieth of a second every first try
 fails. Measured by bench/front.py: a tenth of a front's processor time at 130 reqs a second.
 """
+import select
 import socket
 
 import gevent
 from gevent import socket as gevent_socket
 
+ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 class Line:
     given = None  # when it was last put aside for reuse, in microseconds; None for a new one
@@ -68,13 +71,25 @@
             return False
 
     def ended(self):
-        """Whether the peer closed or reset its side, though nobody has read as far; not seen behind bytes that wait to be read."""
+        """Whether the peer closed or reset its side, though nobody has read as far."""
         try:
-            return self._sock.recv(1, socket.MSG_PEEK) == b""
+            if self._sock.recv(1, socket.MSG_PEEK) == b"":
+                return True
         except BlockingIOError:
             return False
         except OSError:
             return True
+        # bytes wait to be read, and the end may stand behind them: the system knows of it
+        look = select.poll()
+        look.register(self._sock.fileno(), ENDS)
+        return any(seen & ENDS for _, seen in look.poll(0))
+
+    def unread(self):
+        """Whether bytes have come that nobody has read: closing over them would reset the connection."""
+        try:
+            return self._sock.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
 
     def close(self):
         self._came.stop()
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -7,6 +7,7 @@
 import socket
 
 import gevent
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from martenrouter.edge import clock
@@ -22,8 +23,11 @@
 UNSENT_LIMIT = 256 * 1024   # no whole answer is larger: a client that leaves so much unread reads nothing
 UNSENT_WITHIN = 5_000_000   # the same by time: a stream's end has to reach its client in seconds
 AT_ONCE = 16                # connections taken before others get their turn: those over the bound hold descriptors until then
-AHEAD = 16                  # reqs that may wait on one connection behind an open one
+AHEAD = 16 * 1024           # bytes that may wait behind an open req before no more is read: the system's own bounds hold the rest
+NEWCOMERS = 16              # connections over the bound that are answered and read on: a part of the reserve of descriptors
 NEWCOMER = 300_000          # a connection's first req is on its way for so long; older silent ones are closed first
+HALF = 1_000_000            # half a req that is this old may be closed for a newcomer: a usual client's is whole by then
+PIECES = 500_000            # of a connection that was silent at first: its req may still come in pieces, within the 3 s
 OPEN, LAST, CLOSED = range(3)
 
 
@@ -32,10 +36,13 @@
         self.line, self.door, self.state = line, door, OPEN
         self.reader, self.events = messages.Requests(), collections.deque()
         self.head, self.body, self.size = None, [], 0
+        self.raw, self.room = b"", Event()  # what waits behind the open req, and whether more may
         self.req, self.asked = None, 0      # the open req; how many have come
         self.since = now                    # when it was made, its last answer ended, or its unfinished req began
-        self.begun = None                   # when the first bytes of an unfinished req came
+        self.begun = None                   # when the first bytes of an unfinished req came, or its turn did
+        self.heard = now                    # when the last bytes came: the latest that what waits can have been sent
         self.keep, self.rest, self.writer = True, b"", None
+        self.going = False                  # whether go_on runs: answers that it gives itself don't begin it again
         self.lingers, self.thrown, self.unsent_since, self.streaming = None, 0, None, False
 
     # ---- reading ----
@@ -52,18 +59,35 @@
                     if self.thrown > LINGER_BYTES:
                         return
                     continue
+                self.heard = clock.now()
                 if self.begun is None:
-                    self.begun = clock.now()
-                self.events.extend(self.reader.feed(data))
+                    self.begun = self.heard
+                self.raw += data
                 self.go_on()
-                if sum(event[0] == "head" for event in self.events) > AHEAD:
-                    return
+                while len(self.raw) >= AHEAD and self.state != CLOSED:
+                    # back-pressure: closing here would lose the open req. That the client has gone is seen by the sweep
+                    self.room.clear()
+                    self.room.wait()
         except OSError:
             self.door.counters["connection_broken"] += 1
 
     def go_on(self):
         """Takes what has come, up to the end of the next req."""
-        while self.events and self.req is None and self.lingers is None and self.state == OPEN:
+        if self.going:
+            return
+        self.going = True
+        try:
+            self._go_on()
+        finally:
+            self.going = False
+
+    def _go_on(self):
+        while (self.events or self.raw) and self.req is None and self.lingers is None and self.state == OPEN:
+            if not self.events:
+                data, self.raw = self.raw[:AHEAD], self.raw[AHEAD:]
+                self.room.set()
+                self.events.extend(self.reader.feed(data))
+                continue
             event = self.events.popleft()
             if event[0] == "bad":
                 self.refuse(400, "not HTTP/1.1: " + event[1])
@@ -73,7 +97,7 @@
                 self.size += len(event[1])
                 if self.size > messages.BODY_LIMIT:
                     self.refuse(413, "a body over %d bytes" % messages.BODY_LIMIT)
-                elif sum(conn.size for conn in self.door.conns.values()) > self.door.bytes_limit:
+                elif sum(conn.size + len(conn.raw) for conn in self.door.conns.values()) > self.door.bytes_limit:
                     # guards the machine's memory against many large bodies at once; each alone is within its limit
                     self.refuse(503, "too many bytes are on their way")
                 else:
@@ -93,9 +117,9 @@
             self.put(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _whole(self):
-        head, body, begun = self.head, b"".join(self.body), self.begun
+        head, body, begun = self.head, b"".join(self.body), min(self.begun or self.heard, self.heard)
         self.head, self.body = None, []
-        self.begun = clock.now() if self.events or self.reader.inside else None
+        self.begun = clock.now() if self.events or self.raw or self.reader.inside else None
         self.asked += 1
         if head.method == "GET":
             ready = self.door.ready() or head.path == "/health"
@@ -109,8 +133,8 @@
         if len(self.door.hands.reqs) >= self.door.most_reqs:
             # guards the descriptors that the list's watch and calls to let go need: each open req may hold one at an engine
             self.door.counters["refused_over_bound"] += 1
-            return self.answer(503, "too many reqs are open", [("retry-after", "1")])
-        self.req = self.door.hands.arrived(self, ask, begun or clock.now())
+            return self.answer(503, "too many reqs are open", self.door.come_back)
+        self.req = self.door.hands.arrived(self, ask, begun)
 
     # ---- answering ----
 
@@ -150,7 +174,7 @@
         self.begun = self.since if self.begun is not None else None  # what came meanwhile begins now
         if not self.keep or self.door.leaving:
             self.linger()
-        elif self.events:
+        else:
             self.go_on()
 
     # ---- sending ----
@@ -191,6 +215,8 @@
         if self.lingers is None:
             self.lingers = clock.now()
             self.events.clear()
+            self.raw = b""
+            self.room.set()
             self.head, self.body, self.size = None, [], 0
             if not self.rest:
                 self.line.shut(socket.SHUT_WR)
@@ -199,14 +225,15 @@
         """From any greenlet: the reading one sees the end and clears up."""
         if self.state != CLOSED:
             self.state = CLOSED
+            self.room.set()
             self.line.shut(socket.SHUT_RDWR)
 
 
 class Door:
-    def __init__(self, listen, most, most_reqs, bytes_limit, groups, hands, counters, log):
+    def __init__(self, listen, most, most_reqs, bytes_limit, groups, come_back, hands, counters, log):
         """`listen`: (host, port); `most`: connections that may be open; `most_reqs`: reqs; `bytes_limit`: bodies of all open and
-        unfinished reqs together; `groups`: names of endpoint groups."""
-        self.most_reqs = most_reqs
+        unfinished reqs together; `groups`: names of endpoint groups; `come_back`: headers of what is turned away over a bound."""
+        self.most_reqs, self.come_back = most_reqs, come_back
         self.bytes_limit = bytes_limit
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
         self.conns, self.begun, self.listens = {}, False, False
@@ -235,13 +262,19 @@
 
     def _accepted(self, sock, _):
         now = clock.now()
-        line = Line(None, None, made=sock)
+        try:
+            line = Line(None, None, made=sock)
+        except OSError:
+            return  # reset before it was taken
         conn = Conn(line, self, now)
         if len(self.conns) >= self.most and not self._make_room(now):
             self.counters["connection_over_bound"] += 1
-            conn.put(messages.plain(503, "too many connections", False, [("retry-after", "1")]))
-            line.close()
-            return
+            if len(self.conns) >= self.most + NEWCOMERS:
+                line.close()
+                return
+            # its req is on its way: a close over it would reset the answer away, so it is read on for a moment
+            conn.put(messages.plain(503, "too many connections", False, self.come_back))
+            conn.linger()
         self.conns[id(conn)] = conn
         try:
             conn.read()
@@ -260,14 +293,16 @@
             line.close()
 
     def _make_room(self, now):
-        """Closes the connection of least use: silent from its start, then longest without a req. False if there is none."""
-        idle = [c for c in self.conns.values() if c.req is None and c.state == OPEN]
-        if not idle:
-            return False
-        worst = min(idle, key=lambda c: (c.lingers is None, c.asked > 0 or now - c.since < NEWCOMER, c.since))
-        self.counters["connection_made_room"] += 1
-        worst.close()
-        return True
+        """Closes the connection of least use: silent from its start, then longest without a req, then with an old half of one.
+        False if there is none. One on which something has come that nobody has read is not closed for another."""
+        idle = [c for c in self.conns.values() if c.req is None and c.state == OPEN
+                and (c.begun is None or c.lingers is not None or now - c.begun > HALF)]
+        for conn in sorted(idle, key=lambda c: (c.lingers is None, c.begun is not None, c.asked > 0 or now - c.since < NEWCOMER, c.since)):
+            if not conn.line.unread():
+                self.counters["connection_made_room"] += 1
+                conn.close()
+                return True
+        return False
 
     def sweep(self, now):
         for conn in list(self.conns.values()):
@@ -278,8 +313,10 @@
                 self.counters["connection_closed_unread"] += 1
                 conn.close()
             elif conn.req is not None or conn.state != OPEN:
-                continue
-            elif conn.begun is not None and now - (conn.begun if conn.asked else conn.since) > WHOLE_WITHIN:
+                if len(conn.raw) >= AHEAD and conn.line.ended():
+                    conn.close()  # nobody reads there just now, and its client has gone
+            elif conn.begun is not None and (now - conn.begun > WHOLE_WITHIN or not conn.asked and now - conn.since > WHOLE_WITHIN
+                                             and now - conn.begun > PIECES):
                 conn.refuse(408, "a req has to come whole within %.1f s" % (WHOLE_WITHIN / 1e6))
             elif conn.begun is None and now - conn.since > (IDLE_WITHIN if conn.asked else WHOLE_WITHIN) and conn.line.quiet():
                 self.counters["connection_closed_idle"] += 1
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -26,6 +26,7 @@
 # which has one forward out. Kept connections to all engines together. What is left, an eighth, is the reserve of the list's watch, calls
 # to let go, the door and files: nothing that clients do takes from it
 CLIENTS, REQS, KEPT = 2 / 5, 1 / 3, 1 / 7
+COME_BACK = 1_000_000    # microseconds that what is turned away over a bound is told, where the settings allow it
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
@@ -45,7 +46,9 @@
         self.engines = Engines(Connections(kept, idle, total=kept),
                                plain.get("connect_within", 250_000), self.counters, log)
         groups = {group.get("name") for group in plain["groups"]}
-        self.door = Door(self.listen, int(sockets * CLIENTS), int(sockets * REQS), int(settings.limits.memory_mb * BODIES), groups, self, self.counters, log)
+        wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
+        self.door = Door(self.listen, int(sockets * CLIENTS), int(sockets * REQS), int(settings.limits.memory_mb * BODIES), groups,
+                         [("retry-after", "%.3f" % (wait / 1e6))] if wait else [], self, self.counters, log)
         self.watch = Watch(codec.address(settings.discovery, "$.discovery"), known.revision, self.listed, self.counters, log)
         self.done = Event()
         self.listed(known, "first")
--- a/martenrouter/wire/platform/messages.py
+++ b/martenrouter/wire/platform/messages.py
@@ -46,7 +46,7 @@
 
     def on_message_begin(self):
         super().on_message_begin()
-        self._whole, self.in_head = False, True
+        self._whole, self.in_head, self._raw = False, True, 0  # what came before it on the connection is not its
 
     raw_limit = RAW_LIMIT
     in_head = half = False  # half: a chunk has begun and not ended
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -36,6 +36,22 @@
     return it
 
 
+class ManyMessages(unittest.TestCase):
+    def test_what_came_before_a_message_is_not_counted_as_its(self):
+        # found by sending twenty reqs of 100 KB at once: pieces that end in mid-message added up to the bound of one
+        one = b"POST / HTTP/1.1\r\ncontent-length: 100000\r\n\r\n" + b"x" * 100_000
+        reader, bad = messages.Requests(), []
+        for at in range(0, 30 * len(one), 16_384):
+            bad += [event for event in reader.feed((one * 30)[at:at + 16_384]) if event[0] == "bad"]
+        self.assertEqual(bad, [])
+        endless, seen = messages.Requests(), endless_head()
+        self.assertIn("bad", [event[0] for piece in seen for event in endless.feed(piece)])
+
+
+def endless_head():
+    return [b"GET / HTTP/1.1\r\nx: "] + [b"y" * 16_384] * 12
+
+
 class Settings(unittest.TestCase):
     def test_both_forms_give_equal_maps(self):
         pairs = told.from_pairs(PAIRS.split(" "))
