Signals before their handlers, half written files, and the end of a stop

SIGHUP while modules load ended the process (exit -1 in the test), SIGTERM then ended it by the signal; both are caught from the command's first line on. A configuration that is half written at SIGHUP is looked at again for half a second; settings that can't be used are refused there too. Node.stop gave up at the time by which answers are due, though a req that came in its last 50 ms may stream for longer; what the process cuts by ending is lost, what the kill cuts of what came in time is not. One loop now, which ends when no connection is left.

--- a/martenrouter/cli/node.py
+++ b/martenrouter/cli/node.py
@@ -14,6 +14,8 @@
 
     SIGTERM or SIGINT stops it cleanly, SIGHUP reads PATH anew, SIGUSR1 logs what it believes of engines beside its sockets.
     """
+    from martenrouter.node.signals import Early
+    early = Early()  # before what takes time to load
     from martenrouter.cli.life import settle_memory
     from martenrouter.edge.log import logger
     from martenrouter.node.life import Node
@@ -31,7 +33,7 @@
         raise click.ClickException("%s: %s" % (path, why)) from why
     settle_memory(5_000)  # on a small machine's memory what waits for a look counts
     try:
-        code = node.run()
+        code = node.run(early)
     except OSError as why:
         raise click.ClickException("can't listen on %s:%d: %s; free the address or name another as listen" % (
             *node.listen, why.strerror)) from why
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -27,6 +27,7 @@
 # to let go, the door and files: nothing that clients do takes from it
 CLIENTS, REQS, KEPT = 2 / 5, 1 / 3, 1 / 7
 COME_BACK = 1_000_000    # microseconds that what is turned away over a bound is told, where the settings allow it
+UNREADABLE = 5           # further looks at a new configuration that can't be read, 0.1 s apart: it may be half written
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
@@ -95,11 +96,13 @@
         """Those that run for as long as the node does."""
         return self.watch.greenlet, self.desk.greenlet, self.looker
 
-    def run(self):
-        """Serves until SIGTERM or SIGINT; returns the exit code."""
+    def run(self, early=None):
+        """Serves until SIGTERM or SIGINT; returns the exit code. `early`: node/signals.py, what came before this."""
         for number, act in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
                             (signal.SIGUSR1, self.say_beliefs)):
             gevent.signal_handler(number, self._signalled, act)
+        if early is not None and early.caught:
+            self._signalled(self.reload)  # it came before anybody could look
         self.start()
         self.done.wait()
         return 0
@@ -120,12 +123,18 @@
                 self.log.error("look_failed", error="%s: %s" % (type(why).__name__, why))
 
     def reload(self):
-        """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes nothing."""
-        try:
-            settings, _ = self._read()
-        except (codec.Unreadable, OSError) as why:
-            self.log.error("configuration_refused", why=str(why), mend="the old one stays; mend the file and signal again")
-            return
+        """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes nothing; as it may be
+        half written just now, it is looked at again for half a second."""
+        for left in reversed(range(UNREADABLE + 1)):
+            try:
+                settings, _ = self._read()
+                told.from_nested(settings.settings)
+                break
+            except (codec.Unreadable, told.Unreadable, OSError) as why:
+                if not left:
+                    self.log.error("configuration_refused", why=str(why), mend="the old one stays; mend the file and signal again")
+                    return
+                gevent.sleep(0.1)
         self.counters["reloaded"] += 1
         self.log.info("reloaded", discovery=settings.discovery)
         self.watch.move(codec.address(settings.discovery, "$.discovery"))
@@ -143,8 +152,10 @@
         self.door.stopping, self.door.leaving = True, not moves
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
         self.answer_all_by(begun + line.answered)
-        moved = 0
-        while self.busy() or clock.now() - begun < line.kept:
+        moved = gone = 0
+        # the end comes when no connection is left, however long that takes: what the kill cuts of what came in time is not lost, what
+        # this process cuts by ending is; and a req may come on any connection that is open
+        while self.busy() or gone <= line.kept or self.door.conns:
             gone = clock.now() - begun
             if gone > line.coming:
                 self.door.stop_listening()
@@ -155,13 +166,6 @@
                 part = min((gone - line.moves) / (line.moved - line.moves), 1)
                 moved += self.move_streams(begun + line.last if gone < line.last else 0, moved, part)
             gevent.sleep(0.02)
-        self.door.stop_listening()
-        last = begun + line.answered  # what comes this late has had no answer promised, but the kill would find it
-        while True:
-            self.door.close_idle()
-            gevent.sleep(0.05)  # the last answers' connections are read to their ends by their clients
-            if not self.busy() or clock.now() > last:
-                break  # else a req came just before its connection was to be closed
         self.log.info("node_stopped", unanswered=sum(r.over is None for r in self.reqs.values()), **self.counters)
         self.done.set()
 
