--- a/martenrouter/decisions/connections.py
+++ b/martenrouter/decisions/connections.py
@@ -9,16 +9,18 @@
 """
 from martenrouter.rules import Sum
 
+RESTS = 50_000  # microseconds: the platform's engines may send a second answer some milliseconds behind the first
 
 
 class Connections:
     IDLE = 4_000_000  # engines in the field close idle connections after 5 s and more
     FADES = 4_000_000  # microseconds: as the module's own measure of troubles that last for some seconds
 
-    def __init__(self, most, idle=IDLE, total=None):
+    def __init__(self, most, idle=IDLE, total=None, rests=0):
         """`most` for one engine, `total` for all together; `idle`: microseconds an unused one is kept, where the engines' own
-        limit is known."""
-        self.most, self.total, self.within = most, total, idle
+        limit is known; `rests`: microseconds before it is used again, in which what nobody asked for may still come: on a
+        connection in use it would be taken for the answer to the next req."""
+        self.most, self.total, self.within, self.rests = most, total, idle, rests
         self.idle, self.count = {}, 0  # engine -> [(since, connection)], oldest first; how many there are
         self.used, self.broke = Sum(self.FADES), Sum(self.FADES)
 
@@ -40,7 +42,8 @@
         self.count -= len(kept)
         fresh = [pair for pair in kept if now - pair[0] < self.within]
         closing = [pair[1] for pair in kept if now - pair[0] >= self.within]
-        connection = fresh.pop()[1] if fresh else None
+        rested = sum(now - pair[0] >= self.rests for pair in fresh)
+        connection = fresh.pop(rested - 1)[1] if rested else None
         if fresh:
             self.idle[engine] = fresh
             self.count += len(fresh)
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from martenrouter.decisions.connections import Connections
+from martenrouter.decisions.connections import RESTS, Connections
 from martenrouter.edge import clock
 from martenrouter.node.desk import Desk
 from martenrouter.node.door import Door
@@ -44,7 +44,7 @@
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
         kept = int(sockets * KEPT)
-        self.engines = Engines(Connections(kept, idle, total=kept),
+        self.engines = Engines(Connections(kept, idle, total=kept, rests=RESTS),
                                plain.get("connect_within", 250_000), self.counters, log)
         groups = {group.get("name") for group in plain["groups"]}
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent import socket
 
+from martenrouter.decisions.connections import RESTS
 from martenrouter.edge import clock
 from martenrouter.node import watch as watch_module
 from martenrouter.node.leaving import TimeLine
@@ -114,11 +115,25 @@
         for engine in rig.node.desk.front.engines.values():
             self.assertEqual(engine.load, {"reqs_held": 1.0, "memory_share": 0.25})
 
+    def test_what_the_client_says_to_whoever_serves_it_is_passed_on(self):
+        # found on a variant of a site with a keyed group: its engines know a repeat by a key of the client's, which was left out
+        rig = self.pair()
+        client = rig.client().ask(idempotency_key='"3f-9"', x_retried="1", connection="keep-alive, x-hop", x_hop="h", keep_alive="timeout=5", te="trailers",
+                                  accept_encoding="gzip", x_odd="")
+        self.assertEqual(client.answer()[0], 200)
+        for engine in rig.engines.values():
+            headers = engine.calls[0]["headers"]
+            self.assertEqual([headers.get(name) for name in ("idempotency-key", "x-retried", "x-route-key", "x-attrs", "x-odd", "host", "content-type")],
+                             ['"3f-9"', "1", "k1", "prompt_len=1000,prefix_len=0,max_out=50", "", engine.address, "application/json"])
+            self.assertEqual({"connection", "x-hop", "keep-alive", "te", "accept-encoding"} & set(headers), set())
+        self.assertEqual(rig.client().ask(x_large="y" * 9000).answer()[0], 431)
+
     def test_connections_are_kept_on_both_sides(self):
         rig = self.pair()
         client = rig.client()
         for n in range(5):
             self.assertEqual(client.ask("%016x" % n).answer()[0], 200)
+            gevent.sleep(2 * RESTS / 1e6)
         self.assertEqual(rig.node.counters["connection_opened"], 2)
 
     def test_reqs_sent_ahead_are_answered_in_their_order(self):
@@ -231,6 +246,7 @@
                 for id in ("1" * 16, "2" * 16):
                     status, _, body = client.ask(id).answer()
                     self.assertEqual((status, body, client.last), (200, b"".join(EVENTS), True))
+                    gevent.sleep(2 * RESTS / 1e6)
                 self.assertEqual(rig.node.counters["connection_opened"], 3)  # the reader's one is kept
                 rig.close()
 
