Ends of forwards that cross what comes: stale events, faults, rounds that fail

Found by reading, each forced on sockets and seen to fail before: a first event read between the cancel and the stop of its greenlet was passed on though the module had another forward out (one client, two streams; the cancelled one's won); a fault of this node in a forward left it without an end, waited for to the req's deadline; what stood behind the fault in a failed round's inbox was lost, arrivals, outcomes and a client's leaving (its state was never let go of).

--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -60,6 +60,11 @@
         except Broke as why:
             ending, f.why = why.ending, why.why
             self.counters["forward_" + why.why.partition(":")[0].replace(" ", "_")] += 1
+        except Exception as why:
+            # guards against a fault of this node: a forward without an end would be waited for to its req's deadline
+            ending, f.why = "unreachable" if connection is None else "reset", "%s: %s" % (type(why).__name__, why)
+            self.counters["forward_failed"] += 1
+            self.log.error("forward_failed", req=f.req.id, n=f.n, engine=f.engine, error=f.why)
         finally:
             self.out.pop((f.req.id, f.n), None)
             if connection is not None and not clean:
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -7,7 +7,7 @@
 
 from martenrouter.edge import clock
 from martenrouter.node.engines import Forward
-from martenrouter.edge.lines import Broke
+from martenrouter.edge.lines import Broke, Stopped
 from martenrouter.wire.platform import messages
 
 # A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is this old is spoilt
@@ -82,7 +82,9 @@
     # ---- decisions of the module ----
 
     def forward(self, id, engine, time_out):
-        r = self.reqs[id]
+        r = self.reqs.get(id)
+        if r is None:
+            return  # its end is in the inbox: a round that failed had not come to it
         now = clock.now()
         f = Forward(r, r.used, engine, now, min(r.deadline, now + time_out) if time_out else r.deadline)
         r.used += 1
@@ -139,6 +141,10 @@
     def events(self, f, data):
         """Whole events came. The first ones make this the forward whose stream the client gets."""
         r = f.req
+        if f.ended:
+            # its end has been said and its greenlet is to be stopped, but what had come already got here first: the module may
+            # have another one out by now
+            raise Stopped
         if not f.began:
             if r.over or r.streams:
                 raise Broke("cancelled", "late")
