--- a/martenrouter/settings/told.py
+++ b/martenrouter/settings/told.py
@@ -105,12 +105,27 @@
                 told[ours] = [_checked(path, ours, item) for item in text.split(",")] if text else []
             else:
                 told[ours] = _checked(path, ours, text)
+    _contradictions(told)
     meaning = told.get("family-info.report-x0")
     if meaning is not None and "memory" not in str(meaning):
         told["memory_told"] = False  # else a report of something else would be read as the share of memory held
     return told
 
 
+def _contradictions(told):
+    """Settings that are each of their form but not together. Raises Unreadable."""
+    for path, items in ITEMS.items():
+        seen = set()
+        for index, item in enumerate(told[items]):
+            name = item.get("name")
+            if name in seen and name is not None:
+                raise Unreadable("setting %s.%d.name is %r, which another has too; write each name once" % (path, index, name[:60]))
+            seen.add(name)
+    kinds, roles = told.get("kinds", ()), told.get("role_by_kind", ())
+    if kinds and roles and len(kinds) != len(roles):
+        raise Unreadable("setting family-info.role-by-kind has %d roles for %d kinds; write one for each of skus" % (len(roles), len(kinds)))
+
+
 def from_nested(tree):
     """`tree`: the object as JSON gives it. Raises Unreadable."""
     if not isinstance(tree, dict):
