Names with blanks, commas and digits are taken as they stand; a customer's share on sockets

Found by reading with a site of other names in mind, forced on sockets: the nested settings' blanks and commas became underscores in every text, also in the names of endpoint groups, kinds and customers, which stand in heads and lists as they are: every req of such a group was refused (400), engines of such a kind had no role. Names are kept now; of other words the pairs' form stays. Only customers of the settings are told to the module, as it remembers them. Test: test_names_with_blanks_and_commas_and_a_customer_s_share, fails before (400).

--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -44,6 +44,7 @@
         self.leaving = []
         self.windows = {group.get("name"): group.get("repeat_window", 0) for group in settings.get("groups", ())
                         if group.get("effect") == "keyed"}
+        self.customers = {customer.get("name") for customer in settings.get("customers", ())}
         self.all_by = None      # a planned stop: when every answer has to be out, whatever deadline its client gave
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = {}, {}   # engine -> its phase and kind, as last told
@@ -57,7 +58,8 @@
         self.counters["reqs"] += 1
         self.log.debug("req_arrived", req=r.id, group=ask.group, session=ask.session, left=r.deadline - clock.now(), flags=ask.flags,
                        prefix=ask.prefix, prompt=ask.prompt, shared=ask.shared)
-        self.desk.post("arrived", r.id, ask.group, None, ask.session, r.deadline, ask.hint, ask.prefix, ask.prompt,
+        customer = ask.customer if ask.customer in self.customers else None  # others would be remembered for good
+        self.desk.post("arrived", r.id, ask.group, customer, ask.session, r.deadline, ask.hint, ask.prefix, ask.prompt,
                        ask.shared, ask.max_out, ask.flags)
         return r
 
--- a/martenrouter/settings/told.py
+++ b/martenrouter/settings/told.py
@@ -80,13 +80,23 @@
 
 def from_pairs(parts):
     """`parts`: "path=value" texts. Raises Unreadable."""
-    told = {ours: [] for ours in ITEMS.values()}
+    pairs = []
     for part in parts:
         path, sign, text = part.partition("=")
         if not sign:
             raise Unreadable("up has a setting without a value: %s" % path)
+        pairs.append((path, text))
+    return _translated(pairs)
+
+
+def _translated(pairs):
+    """`pairs`: (path, text), a list's text being a list of them or joined by commas."""
+    told = {ours: [] for ours in ITEMS.values()}
+    for path, text in pairs:
         if text == "-":  # an absent value is as if it were not given
             continue
+        if isinstance(text, list) and NAMES.get(path) not in LISTS:
+            text = ",".join(text)
         head, _, rest = path.partition(".")
         index, _, field = rest.partition(".")
         if head in ITEMS and index.isdigit():
@@ -102,7 +112,8 @@
         elif head not in ITEMS:
             ours = NAMES.get(path, path)
             if ours in LISTS:
-                told[ours] = [_checked(path, ours, item) for item in text.split(",")] if text else []
+                items = text if isinstance(text, list) else text.split(",") if text else []
+                told[ours] = [_checked(path, ours, item) for item in items]
             else:
                 told[ours] = _checked(path, ours, text)
     _contradictions(told)
@@ -130,7 +141,7 @@
     """`tree`: the object as JSON gives it. Raises Unreadable."""
     if not isinstance(tree, dict):
         raise Unreadable("settings are not an object")
-    return from_pairs("%s=%s" % pair for pair in _pairs("", tree))
+    return _translated(_pairs("", tree))
 
 
 def _pairs(path, value):
@@ -138,18 +149,22 @@
         for name, inner in value.items():
             yield from _pairs("%s.%s" % (path, name) if path else name, inner)
     elif isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
-        yield "%s.count" % path, len(value)
+        yield "%s.count" % path, str(len(value))
         for index, item in enumerate(value):
             yield from _pairs("%s.%d" % (path, index), item)
     elif isinstance(value, list):
-        yield path, ",".join(map(_text, value))
+        yield path, [_text(path, item) for item in value]
     elif value is not None:
-        yield path, _text(value)
+        yield path, _text(path, value)
 
 
-def _text(value):
+def _text(path, value):
     if isinstance(value, bool):
         return "true" if value else "false"
     if not isinstance(value, (str, int, float)):
         raise Unreadable("a setting's list holds neither objects alone nor simple values alone")
-    return value.replace(" ", "_").replace(",", "_") if isinstance(value, str) else repr(value)
+    if not isinstance(value, str):
+        return repr(value)
+    # names stand in heads and lists just as here; of other words the pairs' form has no blanks
+    named = path.endswith(".name") or NAMES.get(path) in WORDS
+    return value if named else value.replace(" ", "_").replace(",", "_")
--- a/martenrouter/wire/platform/asks.py
+++ b/martenrouter/wire/platform/asks.py
@@ -26,8 +26,8 @@
 
 
 class Ask:
-    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session` may be None; lengths in tokens; `headers`: pairs to pass on."""
-    __slots__ = ("id", "group", "session", "timeout", "hint", "prefix", "prompt", "shared", "max_out", "flags", "target",
+    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session`, `customer` may be None; lengths in tokens; `headers`: pairs to pass on."""
+    __slots__ = ("id", "group", "customer", "session", "timeout", "hint", "prefix", "prompt", "shared", "max_out", "flags", "target",
                  "headers", "body")
 
 
@@ -80,7 +80,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as why:
         raise BadAsk(400, "the body is not a chat completion: %s" % why)
     a = Ask()
-    a.id, a.group, a.session = get("x-request-id"), get("x-priority-class"), get("x-route-key") or None
+    a.id, a.group, a.customer, a.session = get("x-request-id"), get("x-priority-class"), get("x-tenant-id") or None, get("x-route-key") or None
     a.target, a.headers, a.body = head.path, passed_on(head), body
     a.timeout = int(get("x-timeout-ms")) * 1000
     extras = dict(part.strip().partition("=")[::2] for part in get("x-attrs", "").split(",") if part.strip())
--- a/tests/sockets/test_node_settings.py
+++ b/tests/sockets/test_node_settings.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from martenrouter.wire import http
 from tests.sockets.node_rig import SETTINGS, Engine
 from tests.sockets.test_node import ROOT, Case, hang
 
@@ -29,6 +30,19 @@
                 self.assertNotIn("Traceback", done.stderr)
                 rig.write(rig.agent.address)
 
+    def test_names_with_blanks_and_commas_and_a_customer_s_share(self):
+        """As they stand in heads and lists: a customer's reqs over its share come after the others' (one a second here)."""
+        def read(engine, sock, call, nth):
+            sock.sendall(http.response(202, (), b'{"cached_tokens":4}'))
+        rig = self.rig(Engine("r", "box, large", script=read), Engine("w", "box 2"), skus=["box, large", "box 2"], customers=[{"name": "finca 7", "quota-rps": 1}],
+                       grades=[{"name": "price, now", "effect": "free", "goal-time-us": 1_000_000, "importance": 1.0}], **{"over-share-worth": 0.1})
+        for n, customer in enumerate(("finca 7", "finca 7", "nobody", None)):
+            self.assertEqual(rig.ask("%016x" % n, x_priority_class="price, now", x_tenant_id=customer)[0], 200)
+        front = rig.node.desk.front
+        self.assertEqual([len(engine.calls) for engine in rig.engines.values()], [4, 4])
+        self.assertEqual(set(front.buckets), {"finca 7", None})
+        self.assertLess(front.buckets["finca 7"][0], 1)
+
     def test_a_mixed_engine_needs_one_forward(self):
         rig = self.rig(Engine("m", "combo"), **{
             "skus": ["prefill", "decode", "combo"], "policy-limits": {**SETTINGS["policy-limits"], "attempts-cap": 1},
