Wrong, cut and lost answers: one state machine a client connection, one send buffer, late attempts end

Causes: (1) door.py Conn.put took an empty rest for an idle socket while its sender still held the last 64 KB: later bytes passed them, and linger() shut the socket under them. (2) linger() counted its 0.6 s from the answer, not from its last byte. (3) Conn.read read ahead of the open request and linger() threw whole requests away. (4) engines.py wrote a request in parts without another look, and a close leaves to the system what it still holds. (5) arrival was the moment of reading. (6) _finish logged before it answered. Change: node/client_connection.py has named states and reads no byte behind the request whose turn it is: what can't be answered is not read, so its client sends it again. edge/send_buffer.py keeps bytes until the system took them. An attempt that is not whole at the end of its request is closed so that it never becomes whole, also without cancelling; one slowly taken ends before what it told of the deadline is wrong; bytes that come before it is whole are no answer to it. Arrival is when the loop or the accept queue can have had the bytes first. Same mistake sought in: edge/door.py (its queue has one sender, holds), edge/engines.py, watch.py, calls to let go (few bytes).

--- /dev/null
+++ b/martenrouter/node/client_connection.py
@@ -0,0 +1,300 @@
+"""A client's connection: HTTP/1.1, one request at a time.
+
+Just the bytes of the request whose turn it is are read, all others stay with the system. So each request is either read and
+gets one whole answer, or it is not read: a close over it then resets the connection, and its client sends it again on another.
+
+States, and what leads from one to another:
+
+    IDLE        nothing of a request has been read     -> READING: its first bytes were
+    READING     a part of a request has been read      -> SERVING: it is whole; IDLE or CLOSING: whole, and answered at once;
+                                                          DISCARDING: refused before it was whole
+    SERVING     a whole request has no whole answer    -> IDLE or CLOSING: it has
+    DISCARDING  refused; its rest is read and dropped  -> CLOSING: at its end, or after a while
+    CLOSING     the last answer has been given         -> CLOSED: the client closed, or after a while
+    CLOSED      nothing is read or sent any more
+"""
+import enum
+import socket
+
+from gevent.event import Event
+
+from martenrouter.edge import clock
+from martenrouter.edge.send_buffer import SendBuffer
+from martenrouter.node.arrivals import Arrivals
+from martenrouter.wire import http
+from martenrouter.wire.platform import asks, messages
+
+CHUNK = 64 * 1024
+DISCARD_LIMIT = 4 * 1024 * 1024          # bytes of a refused request that are read, so that its client comes to read the answer
+UNSENT_LIMIT = messages.BODY_LIMIT * 5 // 4  # no whole answer is larger, with its chunks' sizes: a client that leaves more reads nothing
+PROBES = ("/ready", "/health")
+
+
+class State(enum.Enum):
+    IDLE = "idle"
+    READING = "reading"
+    SERVING = "serving"
+    DISCARDING = "discarding"
+    CLOSING = "closing"
+    CLOSED = "closed"
+
+
+class ClientLeft(Exception):
+    """The client closed or reset its connection."""
+
+
+class ClientConnection:
+    """`server`: node/door.py; `accepted`: when; `came`: what has come by now came no earlier."""
+
+    def __init__(self, line, server, accepted, came):
+        self.line, self.server, self.state = line, server, State.IDLE
+        self.buffer = SendBuffer(line, UNSENT_LIMIT, self._send_failed, self._drained)
+        self.changed = Event()       # what the connection's greenlet waits for came about, or should be looked at
+        self.arrivals = Arrivals()
+        if line.unread():
+            self.arrivals.seen(1, came)
+        self.reader, self.head, self.body, self.size = None, None, [], 0
+        self.request, self.asked = None, 0  # the one that is served; how many have been whole
+        self.since = accepted        # when it was accepted, or its last answer ended
+        self.reading_since = None    # when the first bytes of the request that is being read were
+        self.begun = None            # when they came
+        self.refused_since = None    # when the request that is discarded was refused
+        self.closing_since = None    # when the last answer had gone out
+        self.keep = True             # whether the client lets the connection go on after the request
+        self.streaming, self.discarded, self.over_bound = False, 0, False
+
+    # ---- reading ----
+
+    def serve(self):
+        """Runs in the connection's greenlet until the connection is over. Raises ClientLeft, OSError."""
+        while self.state not in (State.CLOSING, State.CLOSED):
+            if self.state is State.SERVING:
+                self._wait_for_answer()
+            elif self.state is State.IDLE and not self.buffer.empty:
+                self._wait(watch=False)  # the next request is not read before the last answer is out
+            else:
+                self._read()
+        self.wait_for_close()
+
+    def _wait(self, watch):
+        """Until `changed`, and with `watch` also until something has come."""
+        if watch:
+            self.line.when_readable(self.changed.set)
+        try:
+            self.changed.wait()
+        finally:
+            if watch:
+                self.line.stop_watching()
+        self.changed.clear()
+
+    def _wait_for_answer(self):
+        self._wait(watch=not self.arrivals.pending)  # unread bytes would wake it each turn: the sweep does so instead
+        if self.state is State.SERVING:
+            if self.line.ended():
+                raise ClientLeft
+            self.arrivals.seen(len(self.line.peek(CHUNK) or b""), self.server.turns.earliest())
+
+    def wait_for_close(self):
+        """Nothing is read any more. Raises ClientLeft once the client has closed."""
+        watch = True
+        while self.state is State.CLOSING:
+            self._wait(watch)
+            if self.line.ended():
+                raise ClientLeft
+            watch = not self.line.unread()
+
+    def _read(self):
+        self.line.wait_readable()
+        if self.state in (State.CLOSING, State.CLOSED):
+            return  # closed meanwhile: what came stays unread
+        data = self.line.peek(CHUNK)
+        if data == b"":
+            raise ClientLeft
+        if data:
+            came = self.server.turns.earliest()
+            self.arrivals.seen(len(data), came)
+            if self.state is State.IDLE:
+                self._begin_reading()
+            self._take(data)
+
+    def _begin_reading(self):
+        self.state, self.reader = State.READING, messages.Requests()
+        self.reading_since, self.begun = clock.now(), self.arrivals.first()
+
+    def _take(self, data):
+        """Feeds `data`, which stands unread, to the parser up to the end of the request, and consumes just that."""
+        taken = consumed = 0
+        try:
+            while taken < len(data) and self.state in (State.READING, State.DISCARDING):
+                end = self.reader.piece_end(data, taken)
+                events = self.reader.feed(data[taken:end])
+                taken = end
+                if events:
+                    self._consume(taken - consumed)
+                    consumed = taken
+                for event in events:
+                    if self.state in (State.READING, State.DISCARDING):
+                        self._on(*event)
+        finally:
+            self._consume(taken - consumed)
+
+    def _consume(self, count):
+        self.line.consume(count)
+        self.arrivals.consumed(count)
+        if self.state is State.DISCARDING:
+            self.discarded += count
+            if self.discarded > DISCARD_LIMIT:
+                self._close_gracefully()
+
+    def _on(self, kind, told=None):
+        if kind == "bad":
+            if self.state is State.READING:
+                self.refuse(400, "not HTTP/1.1: " + told)
+        elif self.state is State.DISCARDING:
+            if kind == "end":
+                self._close_gracefully()
+        elif kind == "head":
+            self._on_head(told)
+        elif kind == "body":
+            self._on_body(told)
+        elif kind == "end":
+            self._on_end()
+
+    def _on_head(self, head):
+        self.head, self.body, self.size, self.keep = head, [], 0, head.keep
+        if self._is_probe(head):
+            return
+        try:
+            asks.check_head(head, self.server.groups)
+        except asks.BadAsk as why:
+            return self.refuse(why.status, str(why))
+        if head.headers.get("expect", "").lower() == "100-continue":
+            self.put(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    @staticmethod
+    def _is_probe(head):
+        return head.method in ("GET", "HEAD") and head.path in PROBES
+
+    def _on_body(self, data):
+        self.size += len(data)
+        if self.size > messages.BODY_LIMIT:
+            self.refuse(413, "a body over %d bytes" % messages.BODY_LIMIT)
+        elif self.server.bytes_held() > self.server.bytes_limit:
+            # guards the machine's memory against many large bodies at once; each alone is within its limit
+            self.refuse(503, "too many bytes are on their way", self.server.come_back)
+        else:
+            self.body.append(data)
+
+    def _on_end(self):
+        head, body = self.head, b"".join(self.body)
+        self.head, self.body = None, []
+        self.asked += 1
+        if self.over_bound:
+            return self.answer(503, "too many connections", self.server.come_back)
+        if self._is_probe(head):
+            ready = self.server.ready() or head.path == "/health"
+            return self.answer(200 if ready else 503, "ready" if ready else "not ready", with_body=head.method != "HEAD")
+        try:
+            ask = asks.ask(head, body, self.server.groups, self.server.hands.customers)
+        except asks.BadAsk as why:
+            self.server.counters["refused_%d" % why.status] += 1
+            return self.answer(why.status, str(why))
+        proxy = self.server.hands
+        if ask.id in proxy.reqs:
+            self.server.counters["refused_409"] += 1
+            return self.answer(409, "a request with this X-Request-ID is open")
+        if len(proxy.reqs) >= self.server.most_reqs:
+            # guards the descriptors that the list's watch and calls to let go need: each open request may hold one at a server
+            self.server.counters["refused_over_bound"] += 1
+            return self.answer(503, "too many requests are open", self.server.come_back)
+        self.state = State.SERVING
+        self.request = proxy.arrived(self, ask, self.begun)
+
+    # ---- answering ----
+
+    def answer(self, status, text, more=(), with_body=True):
+        """The whole answer to the request that was read last."""
+        keep = self._keeps()
+        self.put(messages.plain(status, text, keep, more, with_body))
+        self._answered(keep)
+
+    def refuse(self, status, text, more=()):
+        """An answer to a request that is not whole; the connection ends with it."""
+        self.server.counters["refused_%d" % status] += 1
+        self.put(messages.plain(status, text, False, more))
+        self.state, self.refused_since = State.DISCARDING, clock.now()
+        self.body, self.size = [], 0
+        if self.buffer.empty:
+            self._drained()
+
+    def fail(self):
+        """After a fault in the connection's greenlet: what was read is answered all the same."""
+        self.keep = False
+        if self.request is not None:
+            self.server.hands.failed(self.request)
+        elif self.state in (State.READING, State.SERVING):
+            self.put(messages.plain(500, "the router failed", False))
+        if self.state is not State.CLOSED:
+            self._close_gracefully()
+
+    def begin_stream(self):
+        self.streaming, self.keep = True, self._keeps()
+        self.put(messages.stream_head(self.keep))
+
+    def pass_on(self, data):
+        self.put(http.chunk(data))
+
+    def end_stream(self):
+        self.put(http.chunk(b""))
+        self._answered(self.keep)
+
+    def cut(self):
+        """A stream that broke: its end without the last chunk."""
+        self._answered(keep=False)
+
+    def _keeps(self):
+        """Whether the connection goes on: in a stop it ends, unless a request stands behind this one already."""
+        return self.keep and not self.over_bound and (not self.server.leaving or self.line.unread())
+
+    def _answered(self, keep):
+        if self.state is State.CLOSED:
+            return
+        self.request, self.streaming, self.size, self.since = None, False, 0, clock.now()
+        if keep:
+            self.state = State.IDLE
+            self.changed.set()
+        else:
+            self._close_gracefully()
+
+    # ---- sending and closing ----
+
+    def put(self, data):
+        if self.state is not State.CLOSED:
+            self.buffer.put(data)
+
+    def _send_failed(self, why):
+        self.server.counters["connection_closed_unread"] += len(self.buffer) > UNSENT_LIMIT
+        self.close()
+
+    def _drained(self):
+        """All that was put has gone out."""
+        if self.state in (State.DISCARDING, State.CLOSING) and self.closing_since is None:
+            self.closing_since = clock.now()
+            self.line.shut(socket.SHUT_WR)
+        self.changed.set()
+
+    def _close_gracefully(self):
+        """No more is read; what was put goes out, then this side's end."""
+        self.state = State.CLOSING
+        self.changed.set()
+        if self.buffer.empty:
+            self._drained()
+
+    def close(self):
+        """From any greenlet: the connection's own sees it and clears up."""
+        if self.state is not State.CLOSED:
+            self.state = State.CLOSED
+            self.server.forget(self)
+            self.buffer.stop()
+            self.changed.set()
+            self.line.shut(socket.SHUT_RDWR)
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -12,6 +12,7 @@
 from martenrouter.wire.platform.events import BadEvents, Events
 
 CHUNK = 64 * 1024
+TOLD_WITHIN = 100_000 # microseconds from telling an engine what is left to the request's last byte: 0.15 s are allowed
 AT_ONCE = 10_000      # microseconds: the answer of a machine that knows nothing of a connection comes within a round trip
 # seconds for one try: of the 300 ms in which a state has to go, and the 300 ms that sockets have more, two connections that
 # never come up take 500, and two engines are to be tried in what is left
@@ -21,11 +22,13 @@
 
 class Forward:
     """`n`: its number within the req; `at`: when it was decided; `written`: when its bytes were; `began`: when its first event
-    came; `heard`: when whole events last did. All of the node's clock."""
+    came; `heard`: when whole events last did. All of the node's clock. `reads`: whether it asks for a read, whatever the list says
+    of its engine later."""
 
-    def __init__(self, req, n, engine, at, until):
-        self.req, self.n, self.engine, self.at, self.until, self.heard = req, n, engine, at, until, at
+    def __init__(self, req, n, engine, at, until, reads=False):
+        self.req, self.n, self.engine, self.at, self.until, self.heard, self.reads = req, n, engine, at, until, at, reads
         self.greenlet, self.began, self.ended, self.written, self.load = None, None, False, None, None
+        self.connection = None  # once there is one
         self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False       # part of an event or of a chunk has come
 
@@ -47,7 +50,7 @@
         connection, clean, note = None, False, 0
         try:
             with gevent.Timeout(max(f.until - clock.now(), 1) / 1e6) as patience:
-                connection = self._connect(f.engine)
+                connection = f.connection = self._connect(f.engine)
                 # connecting took time: the req may be over, its engine may drain by now, and a send counts from its first byte
                 if hear.may_still_send(f):
                     ending, note, clean = self._talk(f, connection, hear, patience)
@@ -68,7 +71,7 @@
         finally:
             self.out.pop((f.req.id, f.n), None)
             if connection is not None and not clean:
-                connection.close()
+                connection.abort()  # a request that its engine has not got whole by now never gets there
         if clean:
             connection.given = clock.now()
             self._close(self.kept.give(connection.given, f.engine, connection))
@@ -76,8 +79,19 @@
 
     def _talk(self, f, connection, hear, patience):
         host = "%s:%d" % self.addresses.get(f.engine, ("gone", 0))
+        told_at = clock.now()
+
+        def check():
+            # between its parts others run: what held when the first went out may not any more, and none may have been the last
+            if not connection.quiet():
+                raise Broke("unreachable", "unwritten: bytes came before it was whole")
+            if clock.now() - told_at > TOLD_WITHIN:
+                raise Broke("unreachable", "unwritten: slowly taken, and what was told of the deadline holds no more")
+            if f.ended or f.req.over is not None or f.req.conn.line.ended():
+                raise Broke("not sent", "unwritten: its request is over")
+
         try:
-            connection.sendall(answers.request(f.req.ask, host, f.until - clock.now()))
+            connection.sendall(answers.request(f.req.ask, host, f.until - told_at), check)
         except OSError as why:
             raise Broke("unreachable", "unwritten: %s" % why) from why
         f.written = clock.now()
@@ -99,6 +113,8 @@
             if not data:
                 self._kept_one(f, head is None)
                 raise Broke("reset", "closed in mid-answer" if head else "closed without an answer")
+            if head is None and connection.unsent():
+                raise Broke("unreachable", "unwritten: bytes came before it was whole")  # it closes, and so never becomes whole
             whole, came = [], reader.feed(data)
             for at, event in enumerate(came, 1):
                 if event[0] == "head":
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -89,13 +89,13 @@
         if r is None:
             return  # its end is in the inbox: a round that failed had not come to it
         now = clock.now()
-        f = Forward(r, r.used, engine, now, min(r.deadline, now + time_out) if time_out else r.deadline)
+        f = Forward(r, r.used, engine, now, min(r.deadline, now + time_out) if time_out else r.deadline, self.reads(engine))
         r.used += 1
         r.forwards[f.n] = f
         self.log.debug("forward", req=id, n=f.n, engine=engine)
         if r.over or engine not in self.engines.addresses:
             return self._end(f, "not sent", 0)
-        if self.reads(engine):
+        if f.reads:
             r.reader = engine
         self.engines.start(f, self)
 
@@ -139,7 +139,7 @@
         a keyed one may be repeated not over, and its client still there: the loop may be behind with reading that it has closed,
         and nothing may begin for it by then."""
         return (f.req.over is None and not f.ended and self.phases.get(f.engine) == "up" and clock.now() < f.until
-                and not f.req.conn.line.ended() and (f.req.repeat_by is None or self.reads(f.engine) or clock.now() < f.req.repeat_by))
+                and not f.req.conn.line.ended() and (f.req.repeat_by is None or f.reads or clock.now() < f.req.repeat_by))
 
     def events(self, f, data):
         """Whole events came. The first ones make this the forward whose stream the client gets."""
@@ -175,12 +175,12 @@
         self.log.debug("forward_ended", req=r.id, n=f.n, engine=f.engine, ending=ending, note=note, took=elapsed, load=f.load,
                        why=f.why, idled=f.idled)
         self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
-        if self.reads(f.engine):
+        if f.reads:
             r.holds = ending == "read"
             r.doubtful = r.doubtful or ending not in LEAVES_NOTHING
         elif ending == "full" and note == 1:
             r.holds, r.doubtful = False, True  # its reader may only be cut off from that writer, and hold the state all the same
-        if not self.reads(f.engine) and ending not in LEAVES_NOTHING and r.repeat_by is None and r.ask.group in self.windows:
+        if not f.reads and ending not in LEAVES_NOTHING and r.repeat_by is None and r.ask.group in self.windows:
             # counted as the module does, from its decision; two rounds for what lies between a send and its engine
             r.repeat_by = f.at + self.windows[r.ask.group] - 2 * self.settings.get("round", 0)
         if r.doubtful and not r.holds and r.streams is None:
@@ -210,21 +210,43 @@
 
     # ---- ends of reqs ----
 
+    def failed(self, r):
+        """A fault of this process at the request's connection: it gets its final answer all the same."""
+        if r.over is None:
+            if r.streams:
+                self.engines.stop(r.streams)
+                self._end(r.streams, "cancelled", 0)
+            else:
+                self._finish(r, "aborted", 500, "the router failed")
+                self.desk.post("gone", r.id)
+
     def _finish(self, r, over, status=None, text=None, more=()):
         r.over = over
-        self.counters["over_" + over.replace(" ", "_")] += 1
-        self.log.info("req_over", req=r.id, over=over, took=clock.now() - r.arrived, left=r.deadline - clock.now(), forwards=r.used,
-                      engine=r.streams.engine if r.streams else None)
         if status:
             r.conn.answer(status, text, more)
         elif over == "done":
             r.conn.end_stream()
         elif over == "broken":
             r.conn.cut()
+        self._stop_unwritten(r)
+        self.counters["over_" + over.replace(" ", "_")] += 1
+        self.log.info("req_over", req=r.id, over=over, took=clock.now() - r.arrived, left=r.deadline - clock.now(), forwards=r.used,
+                      engine=r.streams.engine if r.streams else None)
         if r.doubtful and r.streams is None:
             self._clear(r, LATER_AND_AGAIN)
         self._forget(r)
 
+    def _stop_unwritten(self, r):
+        """An attempt begins with its last byte: one that its engine has not got whole by the end of its request never begins, also
+        where nothing may be cancelled."""
+        for f in list(r.forwards.values()):
+            if f.written is None:
+                self.engines.stop(f)
+                self._end(f, "not sent", 0)
+            elif not f.began and f.connection is not None and f.connection.unsent():
+                self.engines.stop(f)
+                self._end(f, "reset", 0)  # the last byte may be there by now
+
     def _forget(self, r):
         if r.over and not r.forwards:
             self.leaving.append(r)
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -113,13 +113,12 @@
         while True:
             gevent.sleep(LOOKS / 1e6)
             now = clock.now()
-            try:
-                self.look_after(now)
-                self.engines.sweep()
-                self.door.sweep(now)
-            except Exception as why:
-                # looks go on: what they guard against would otherwise be guarded by nothing
-                self.log.error("look_failed", error="%s: %s" % (type(why).__name__, why))
+            for look in (lambda: self.look_after(now), self.engines.sweep, lambda: self.door.sweep(now)):
+                try:
+                    look()
+                except Exception as why:
+                    # the others and later ones go on: what they guard against would otherwise be guarded by nothing
+                    self.log.error("look_failed", error="%s: %s" % (type(why).__name__, why))
 
     def reload(self):
         """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes nothing; as it may be
@@ -170,7 +169,7 @@
 
     def busy(self):
         return (any(r.over is None or r.forwards for r in self.reqs.values()) or self.engines.letting_go
-                or any(conn.rest for conn in self.door.conns.values()))
+                or any(not conn.buffer.empty for conn in self.door.conns.values()))
 
     # ---- what is believed, beside what the sockets hold ----
 
--- a/martenrouter/wire/http.py
+++ b/martenrouter/wire/http.py
@@ -45,7 +45,8 @@
         self._size += len(name) + len(value)
         if self._size > HEAD_LIMIT:
             raise httptools.HttpParserError("head lines over %d bytes" % HEAD_LIMIT)
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        # blanks around a value are no part of it (RFC 9110, 5.5); the parser takes off those before it
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1").rstrip(" \t")
 
     def on_headers_complete(self):
         self._events.append(("head", self._head()))
--- a/martenrouter/wire/platform/asks.py
+++ b/martenrouter/wire/platform/asks.py
@@ -13,6 +13,9 @@
 # client's word to whoever serves it, such as the key by which a repeat is known
 NOT_PASSED_ON = frozenset("connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer transfer-encoding upgrade "
                           "expect host content-length x-timeout-ms accept-encoding".split())  # the last: its events are read here
+# Heads that are the client's word to whoever serves it: a connection option of their name does not take them out
+END_TO_END = frozenset("x-request-id x-priority-class x-route-key x-attrs x-cost x-retried x-tenant-id content-type authorization idempotency-key "
+                       "cache-control".split())
 PASSED_ON_LIMIT = 8 * 1024  # bytes of head lines passed on: servers in the field take 8 KiB and more
 HINTED, REPEAT, REST = 1, 2, 16  # bits that the module gets: a hint is there, a client's repeat, asks for the rest
 
@@ -59,7 +62,7 @@
         raise BadAsk(413, "a body of %s bytes; %d are taken" % (told[:20], BODY_LIMIT))
     if not ID.match(head.headers.get("x-request-id", "")):
         raise BadAsk(400, "X-Request-ID is missing or not of its form")
-    if head.headers.get("x-priority-class") not in groups:
+    if name_of(head, "x-priority-class", groups) not in groups:
         raise BadAsk(400, "X-Priority-Class names no class: %r" % head.headers.get("x-priority-class", "")[:40])
     _whole(head.headers.get("x-timeout-ms", ""), "X-Timeout-Ms", TIMEOUT_LIMIT)
     if sum(len(name) + len(value) + 4 for name, value in passed_on(head)) > PASSED_ON_LIMIT:
@@ -68,19 +71,32 @@
 
 def passed_on(head):
     """Pairs of the head lines that go to an engine as they came."""
-    left_out = NOT_PASSED_ON.union(name.strip().lower() for name in head.headers.get("connection", "").split(","))
+    named = {name.strip().lower() for name in head.headers.get("connection", "").split(",")}
+    left_out = NOT_PASSED_ON | (named - END_TO_END)
     return [pair for pair in head.headers.items() if pair[0] not in left_out]
 
 
-def ask(head, body):
-    """Ask of a head that check_head passed, and its body. Raises BadAsk."""
+def name_of(head, line, known):
+    """What a head line names, of the names that the settings know: they may stand there in UTF-8 or in ISO 8859-1."""
+    told = head.headers.get(line)
+    if told in known or told is None or told.isascii():
+        return told
+    try:
+        return told.encode("latin-1").decode()
+    except UnicodeDecodeError:
+        return told
+
+
+def ask(head, body, groups=(), customers=()):
+    """Ask of a head that check_head passed, and its body; `groups`, `customers`: names that the settings know. Raises BadAsk."""
     get = head.headers.get
     try:
         told = _body.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as why:
         raise BadAsk(400, "the body is not a chat completion: %s" % why)
     a = Ask()
-    a.id, a.group, a.customer, a.session = get("x-request-id"), get("x-priority-class"), get("x-tenant-id") or None, get("x-route-key") or None
+    a.id, a.session = get("x-request-id"), get("x-route-key") or None
+    a.group, a.customer = name_of(head, "x-priority-class", groups), name_of(head, "x-tenant-id", customers) or None
     a.target, a.headers, a.body = head.path, passed_on(head), body
     a.timeout = int(get("x-timeout-ms")) * 1000
     extras = dict(part.strip().partition("=")[::2] for part in get("x-attrs", "").split(",") if part.strip())
--- a/martenrouter/wire/platform/events.py
+++ b/martenrouter/wire/platform/events.py
@@ -48,14 +48,13 @@
         if self._size > BODY_LIMIT:
             raise BadEvents("an answer over %d bytes" % BODY_LIMIT)
         text = self._part + data
-        end = text.rfind(b"\n\n") + 2
-        if end < 2:
+        end = max(text.rfind(b"\n\n") + 2, text.rfind(b"\n\r\n") + 3)
+        if text.rfind(b"\n", 0, end) < 0:
             self._part = text
             return b""
         whole, self._part = text[:end], text[end:]
-        for block in whole.split(b"\n\n")[:-1]:
-            for line in block.split(b"\n"):
-                self._line(line.rstrip(b"\r"))
+        for line in whole.split(b"\n"):
+            self._line(line.rstrip(b"\r"))
         return whole
 
     def _line(self, line):
--- a/martenrouter/wire/platform/messages.py
+++ b/martenrouter/wire/platform/messages.py
@@ -7,6 +7,7 @@
 
 BODY_LIMIT = 256 * 1024       # bytes: no body of this protocol holds more
 RAW_LIMIT = 4 * BODY_LIMIT    # bytes of a whole message with its head and the chunks' sizes
+HEAD_END, UPGRADE = b"\r\n\r\n", b"upgrade:"
 
 
 class _Bounded:
@@ -68,13 +69,44 @@
 
 
 class Requests(_Bounded, http.RequestReader):
-    """What clients send; several reqs may come at once."""
+    """What a client sends. Fed in the pieces that `piece_end` names, it is never given a byte behind the request's last one."""
+
+    def __init__(self):
+        super().__init__()
+        self._body_left = 0  # bytes of a body whose length was told
+        self._in_body, self._at_line_start, self._held = False, True, b""
+
+    def feed(self, data):
+        if self._in_body:
+            return super().feed(data)
+        data, self._held = self._held + data, b""
+        if self._at_line_start and UPGRADE.startswith(data[:len(UPGRADE)].lower()):
+            # other protocols are offered, never asked for (RFC 9110, 7.8), but the parser would take the body for one
+            if not data.endswith(b"\n") and len(data) < http.HEAD_LIMIT:
+                self._held = data
+            return []
+        self._at_line_start = data.endswith(b"\n")
+        return super().feed(data)
+
+    def piece_end(self, data, start):
+        """Up to where `data` is to be fed from `start` on: a told body's end, else a line's, as a head and chunks end with one."""
+        if self.bad:
+            return len(data)
+        if self._body_left:
+            return min(start + self._body_left, len(data))
+        return data.find(b"\n", start) + 1 or len(data)
 
     def _head(self):
-        head = super()._head()
+        head, self._in_body = super()._head(), True
         head.version = self._parser.get_http_version()
+        told = head.headers.get("content-length", "")
+        self._body_left = int(told) if told.isdigit() and "transfer-encoding" not in head.headers else 0
         return head
 
+    def on_body(self, data):
+        self._body_left = max(self._body_left - len(data), 0)
+        super().on_body(data)
+
 
 class Answers(_Bounded, http.ResponseReader):
     """What an engine or the list's agent answers; 1xx answers ahead of it are passed over."""
@@ -93,12 +125,13 @@
     raw_limit = float("inf")
 
 
-def plain(status, text, keep, more=()):
-    """A whole answer of the node's own, as bytes; `text` says to a person what is wrong."""
+def plain(status, text, keep, more=(), with_body=True):
+    """A whole answer of the node's own, as bytes; `text` says to a person what is wrong. Without its body it answers HEAD."""
     headers = [("content-type", "text/plain; charset=utf-8"), *more]
     if not keep:
         headers.append(("connection", "close"))
-    return http.response(status, headers, (text + "\n").encode())
+    whole = http.response(status, headers, (text + "\n").encode())
+    return whole if with_body else whole[:whole.index(HEAD_END) + len(HEAD_END)]
 
 
 def stream_head(keep):
--- a/tests/sockets/test_crossings.py
+++ b/tests/sockets/test_crossings.py
@@ -17,6 +17,7 @@
 from martenrouter.edge import clock
 from martenrouter.node import door as door_module
 from martenrouter.node import life as life_module
+from martenrouter.node.client_connection import State
 from martenrouter.wire import http
 from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Agent, Engine, request
 from tests.sockets.test_node import ROOT, Case, ends, first, hang
@@ -79,7 +80,7 @@
         sender = gevent.spawn(lambda: [client.ask("%016x" % n, body, x_timeout_ms="60000") for n in range(20)])
         gevent.sleep(0.2)
         conn, = rig.node.door.conns.values()
-        self.assertLess(len(conn.raw), door_module.AHEAD + door_module.CHUNK)
+        self.assertEqual((conn.asked, conn.body, conn.line.unread()), (1, [], True))  # nothing is read ahead
         go.set()
         self.assertEqual(self.statuses(client, 21), {b"200": 21})
         sender.join()
@@ -99,7 +100,6 @@
         rig.node.engines._connect = lambda *args, **more: go.wait(5) and connect(*args, **more)
         rig.node.client_left = lambda r: None  # the loop is behind with reading
         sock, conn = plain(rig)
-        conn.line.recv = lambda most: gevent.sleep(60)  # nothing more is read here
         sock.sendall(request(x_timeout_ms="60000"))
         rig.until(lambda: rig.node.engines.out)
         sock.sendall(b"x" * 100)
@@ -154,7 +154,7 @@
         unread, conn = plain(rig)
         half, other = plain(rig)
         half.sendall(request("2" * 16)[:-5])
-        rig.until(lambda: other.begun is not None)
+        rig.until(lambda: other.state is State.READING)
         for one in (conn, other):
             one.since -= 1_000_000  # those of least use
         silent = [rig.client() for _ in range(most - 2)]
@@ -173,7 +173,7 @@
         most = rig.node.door.most
         waiting = [rig.client().ask("%016x" % n, x_route_key="k%d" % n, x_timeout_ms="60000") for n in range(most)]
         halves = [rig.client().send(request("%016x" % (100 + n))[:-5]) for n in range(most)]
-        rig.until(lambda: sum(c.req is not None or c.begun is not None for c in rig.node.door.conns.values()) >= most)
+        rig.until(lambda: sum(c.state in (State.SERVING, State.READING) for c in rig.node.door.conns.values()) >= most)
         sock = plain_socket.create_connection(rig.address)
         sock.settimeout(3)
         sock.sendall(request("9" * 16) + b"x" * 50_000)  # before the node can have taken the connection
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -622,7 +622,7 @@
         clients = [rig.client().ask("%016x" % n) for n in range(3)]
         rig.until(lambda: len(rig.engines["w"].calls) == 3)
         gevent.sleep(0.1)
-        self.assertLess(sum(len(conn.rest) for conn in rig.node.door.conns.values()), 3 * 256 * 1024 + 1)
+        self.assertLess(sum(len(conn.buffer) for conn in rig.node.door.conns.values()), 3 * 256 * 1024 + 1)
         for client in clients:
             client.close()
         self.settled(rig)
