--- a/martenrouter/edge/rounds.py
+++ b/martenrouter/edge/rounds.py
@@ -9,6 +9,8 @@
 from martenrouter.edge import clock
 from martenrouter.edge.timers import Timers
 
+AFTER_FAULT = 0.02  # seconds before the next round: a fault that lasts must not take all of the processor
+
 
 class Rounds:
     """`play(now, marks)` of a subclass plays one round: `self.inbox` holds (call, arguments), `marks` those due."""
@@ -35,18 +37,30 @@
     def _run(self):
         last = 0
         while True:
-            if not self.inbox:
-                due = self.timers.next_at()
-                self.came.wait(None if due is None else max(due - clock.now(), 0) / 1e6)
-            early = last + self.round - clock.now()
-            if early > 0:
-                gevent.sleep(early / 1e6)
-            self.came.clear()
+            self._wait(last)
             last = clock.now()
-            self.before(last)
-            marks = self.timers.due(last)
-            if self.inbox or marks:
-                self.play(last, marks)
+            try:
+                self._once(last)
+            except Exception:
+                # without rounds every request would be left to its deadline; what is still in the inbox is played next
+                self.faults += 1
+                gevent.sleep(AFTER_FAULT)
+
+    def _wait(self, last):
+        """Until something has come or a mark is due, and the last round is long enough ago."""
+        if not self.inbox:
+            due = self.timers.next_at()
+            self.came.wait(None if due is None else max(due - clock.now(), 0) / 1e6)
+        early = last + self.round - clock.now()
+        if early > 0:
+            gevent.sleep(early / 1e6)
+        self.came.clear()
+
+    def _once(self, now):
+        self.before(now)
+        marks = self.timers.due(now)
+        if self.inbox or marks:
+            self.play(now, marks)
 
     def taken(self):
         """What came in, which is no longer there after it."""
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -189,11 +189,11 @@
         head, body = self.head, b"".join(self.body)
         self.head, self.body = None, []
         self.asked += 1
-        if self.over_bound:
-            return self.answer(503, "too many connections", self.server.come_back)
         if self._is_probe(head):
             ready = self.server.ready() or head.path == "/health"
             return self.answer(200 if ready else 503, "ready" if ready else "not ready", with_body=head.method != "HEAD")
+        if self.over_bound:
+            return self.answer(503, "too many connections", self.server.come_back)
         try:
             ask = asks.ask(head, body, self.server.groups, self.server.hands.customers)
         except asks.BadAsk as why:
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -130,7 +130,8 @@
             self.hands.client_left(request)
         conn.buffer.stop()
         conn.line.close()
-        self.server.resume()
+        if self.listens:
+            self.server.resume()
 
     def forget(self, conn):
         """It is closed, and takes no room any more."""
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -146,27 +146,33 @@
         if self.door.stopping:
             return
         line, begun = TimeLine(self.settings), clock.now()
-        moves = line.moves is not None
-        self.door.stopping, self.door.leaving = True, not moves
+        self.door.stopping, self.door.leaving = True, line.moves is None
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
         self.answer_all_by(begun + line.answered)
-        moved = gone = 0
+        self.moved = gone = 0
         # the end comes when no connection is left, however long that takes: what the kill cuts of what came in time is not lost, what
         # this process cuts by ending is; and a req may come on any connection that is open
         while self.busy() or gone <= line.kept or self.door.conns:
             gone = clock.now() - begun
-            if gone > line.coming:
-                self.door.stop_listening()
-            if gone > line.kept:
-                self.door.leaving = True
-                self.door.close_idle()
-            if moves and gone > line.moves:
-                part = min((gone - line.moves) / (line.moved - line.moves), 1)
-                moved += self.move_streams(begun + line.last if gone < line.last else 0, moved, part)
+            try:
+                self._go_on_stopping(line, begun, gone)
+            except Exception as why:
+                # else nothing would end the process before the kill
+                self.log.error("stop_failed", error="%s: %s" % (type(why).__name__, why))
             gevent.sleep(0.02)
         self.log.info("node_stopped", unanswered=sum(r.over is None for r in self.reqs.values()), **self.counters)
         self.done.set()
 
+    def _go_on_stopping(self, line, begun, gone):
+        if gone > line.coming:
+            self.door.stop_listening()
+        if gone > line.kept:
+            self.door.leaving = True
+            self.door.close_idle()
+        if line.moves is not None and gone > line.moves:
+            part = min((gone - line.moves) / (line.moved - line.moves), 1)
+            self.moved += self.move_streams(begun + line.last if gone < line.last else 0, self.moved, part)
+
     def busy(self):
         return (any(r.over is None or r.forwards for r in self.reqs.values()) or self.engines.letting_go
                 or any(not conn.buffer.empty for conn in self.door.conns.values()))
