A cold server's budget holds in calls as well as in work

Cause: cold_room and send weighed a request by its class's mean alone, so small ones hardly counted.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -71,8 +71,7 @@
 
 
 def draw(key, id):
-    """The engine's weight for the key, alike at every front. No crc: it is linear, the ids alone would say
-    which of them draws most: of 44 engines one was home to nine times as many sessions as another."""
+    """The engine's weight for the key, alike at every front (no crc: it is linear in the ids)."""
     return int.from_bytes(blake2b(("%s %s" % (key, id)).encode(), digest_size=8).digest(), "big")
 
 
@@ -204,9 +203,10 @@
             often = self.prefixes.get(prefix) or Sum(60_000_000)
             often.add(self.now, 1)
             remember(self.prefixes, prefix, often)
-        seen = self.mean_work.setdefault(g.get("name"), [Sum(20_000_000), Sum(20_000_000)])
-        seen[0].add(self.now, prompt)
-        seen[1].add(self.now, 1)
+        for name in (g.get("name"), None):  # None: of all
+            total, count = self.mean_work.setdefault(name, (Sum(20_000_000), Sum(20_000_000)))
+            total.add(self.now, prompt)
+            count.add(self.now, 1)
 
     def resumed(self, id, *told):
         """An answer that paused for a tool; its state has waited at an engine; `here` goes on there."""
@@ -359,8 +359,7 @@
 
     def learn(self, f, elapsed):
         self.feel(f, elapsed)
-        # what a cold engine is trusted with: only what was answered, or tries at a lost hall would raise it,
-        # and only what was read, since a cold one has kept nothing (an eighth: long sessions find nearly all)
+        # what a cold engine is trusted with: what was answered and read, as it has kept nothing (at least an eighth)
         part = max(f.cost / max(f.req.prompt, 1), 0.125) if f.reads else 1
         self.carried.setdefault(f.engine.role, Sum(30_000_000)).add(self.now, part * self.usual_work(f.req))
         for way in (f.engine, f.link):
@@ -484,21 +483,24 @@
         if self.warmth(engine) == 1:
             engine.cold_sends = None
             return True
-        window, work = self.settings.get("cold_window", 0), self.usual_work(r)
-        # what one carried lately, under capacity: slack for chance. Half of a straight line is trusted
+        window, work = self.settings.get("cold_window", 0), self.cold_work(r)
         up = sum(e.role == engine.role and e.up for e in self.engines.values())
         carried = self.carried[engine.role].rate(self.now) / up if engine.role in self.carried else 0
-        share = (self.settings.get("cold_share", 1) + self.warmth(engine)) / 2
+        share = (self.settings.get("cold_share", 1) + self.warmth(engine)) / 2  # half of a straight line
         budget = self.settings.get("cold_multiple", 1) * share * carried * window
-        # less than one req: one in a longer time, begun by chance, or many fronts' first ones would add up
+        # less than one req: one in a longer time, begun by chance, or many fronts' first would add up
         longer = window * (work / budget if budget else self.fronts)
         if engine.cold_sends is None:
             engine.cold_sends = [(self.now - int(self.chance() * longer), work)] if longer > window else []
         window, budget = max(window, longer), max(budget, work)
         return sum(w for at, w in engine.cold_sends if at > self.now - window) + work <= budget
 
-    def usual_work(self, r):
-        total, count = self.mean_work[r.group.get("name")]
+    def cold_work(self, r):
+        """Never under the mean of all: the budget of an engine that warms up holds in calls, too."""
+        return max(self.usual_work(r), self.usual_work(r, of_all=True))
+
+    def usual_work(self, r, of_all=False):
+        total, count = self.mean_work[None if of_all else r.group.get("name")]
         return total.read(self.now) / max(count.read(self.now), 1e-9)
 
     def chance(self):
@@ -567,7 +569,7 @@
         if self.strain(engine) >= 3:
             engine.tested = self.now
         if self.warmth(engine) < 1:
-            engine.cold_sends = [*(engine.cold_sends or ()), (self.now, self.usual_work(r))][-400:]
+            engine.cold_sends = [*(engine.cold_sends or ()), (self.now, self.cold_work(r))][-400:]
         if link:
             link.waiting[(r.id, f.n)] = f
             link.tested = self.now
@@ -607,8 +609,8 @@
         unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank)
         if not unread:
             return
-        # tokens ahead of a new read: own ones without an answer, less this front's part of the free (a 16th
-        # of a memory is noise); over a part of n reqs 2 sqrt(n) more: chance, unseen, while little is taken
+        # tokens ahead of a new read: own ones without an answer, less this front's part of the free; over a
+        # part of n reqs 2 sqrt(n) more: chance, unseen, while little is taken
         well = [e for e in self.pool(False) if self.strain(e) * self.warmth(e) < 3]
         free, whole = sum(max(self.room(e) - e.memory / 16, 0) for e in well), sum(e.memory for e in well)
         chance = 2 * (free / self.fronts * self.usual_work(unread[0])) ** 0.5
@@ -623,8 +625,7 @@
             need = r.prompt + r.answer
             engine, alone, wait = self.pick_reader(r)
             queue = max(ahead + need, 0) / drain if drain else 0
-            # what waits here can be told to come back, so nothing is sent into a wait of three fifths of the
-            # target. None passes one of higher rank: the small would starve the large
+            # nothing is sent into a wait of three fifths of the target; none passes one of higher rank
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
             able = r.used + steps <= self.cap
             if engine and able and not blocked and (not self.pending(engine) or wait <= self.patience(r)):
@@ -640,9 +641,8 @@
             return None, pace.expect(self.now, r.prompt), 0
         rank = r.weights  # drawn once, or held reqs would draw them in each round
         rank.update((e.id, draw(r.home, e.id)) for e in engines if e.id not in rank)
-        # a prefix asked for more than a reader's even part has as many homes; the session says which, alike
-        # at every front. Ten reqs more than seen: a young front knows little, and never fewer than it makes
-        # of its first. Many fronts: as many homes as find it kept nine times in ten. Powers of two: all agree
+        # a prefix asked for more than a reader's even part has as many homes; the session says which. Ten reqs
+        # more than seen: a young front knows little. Powers of two: all fronts agree
         often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
         part = max(often / (self.asked_for.read(self.now) + 10), 1 / 11)
         count = 2 ** round(log2(1 + self.unseen * max(len(self.pool(True)) * part, often * self.fronts / 10)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 from martenrouter.rules import Front, draw
 from tests.cold_fleet import sent_to_a_cold_one
-from tests.helpers import Rig, row
+from tests.helpers import SETTINGS, Rig, row
 
 
 class OrdinaryPath(unittest.TestCase):
@@ -253,6 +253,24 @@
                         chance = 2 * allowed ** 0.5 + 2 if allowed >= 30 else 3 * allowed ** 0.5 + 3
                         self.assertLessEqual(sent, allowed + chance, age)
 
+    def test_the_budget_holds_in_calls_where_classes_differ_in_size(self):
+        """Many small requests weigh little in tokens, and are calls all the same."""
+        groups = [{"name": name, "effect": "replayable", "target": 1_000_000, "importance": 1} for name in ("small", "large")]
+        rig = Rig(groups=groups)
+        for n in range(60):
+            rig.ask(n, group=("small", "large")[n % 2], prompt=(100, 4000)[n % 2], session="s%d" % n, after=100_000)
+            rig.end(n, 0, "read", "r1")
+            rig.play(("first_token", (n, 1, "w1", 500)), ("outcome", (n, 1, "done", "w1", 500, True, 0, None)))
+        rig.play(("listed", (2, "changes", [row("r1", "rd", born=rig.now)])))
+        sent = 0
+        for n in range(100, 400):
+            sent += len(rig.ask(n, group="small", prompt=100, session="s%d" % n, after=5_000).all("forward"))
+            rig.end(n, 0, "read", "r1", after=0)
+        # what it carried, ten calls a second, gives the budget; all were sent within half a window
+        calls = SETTINGS["cold_multiple"] * 10 * SETTINGS["cold_window"] / 1e6 * SETTINGS["cold_share"]
+        self.assertGreater(sent, 0)
+        self.assertLessEqual(sent, calls + 3 * calls ** 0.5 + 3)
+
     def test_one_that_all_fronts_take_for_warm_is_pushed_over(self):
         # that the test above can fail: the same fleet, told that a cold engine carries as much as a warm one
         with mock.patch.object(Front, "cold_room", lambda *_: True), mock.patch.object(Front, "warmth", lambda *_: 1):
