The other front, too: a fault in an attempt ends it, late requests are dropped, odd connections not kept

The same mistakes sought in edge/engines.py: an exception in an attempt's greenlet left it without an end (pushed back at the deadline; served now), what followed an answer in one piece was dropped and the connection kept, an unclean close left the system to deliver a request.

--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -41,9 +41,14 @@
         except Broke as why:
             ending, note = why.ending, 0
             self.log.debug("forward_broke", forward=forward.id, engine=forward.engine, ending=ending, why=why.why)
+        except Exception as why:
+            # guards against a fault of this process: a forward without an end would be waited for to its request's deadline
+            ending, note = "unreachable" if connection is None else "reset", 0
+            self.counters["forward_failed"] += 1
+            self.log.error("forward_failed", forward=forward.id, engine=forward.engine, error="%s: %s" % (type(why).__name__, why))
         finally:
             if connection is not None and not clean:
-                connection.close()
+                connection.abort()  # a request that its engine has not got whole by now never gets there
         if clean:
             self._close(self.kept.give(clock.now(), forward.engine, connection))
         hear.ended(forward, ending, note)
@@ -75,7 +80,7 @@
             except http.BadBytes as why:
                 raise Broke("error", "not HTTP: %s" % why) from why
             texts = []
-            for event in came:
+            for at, event in enumerate(came, 1):
                 if event[0] == "head":
                     head = event[1]
                     forward.load = wire.load_of(head.headers)
@@ -91,7 +96,9 @@
                             raise Broke("error", "an answer over %d bytes" % ANSWER_LIMIT)
                         body.append(event[1])
                 else:
-                    return self._end(forward, head, body, finished, texts, hear)
+                    ending, note, keep = self._end(forward, head, body, finished, texts, hear)
+                    # what follows an answer was not asked for: the answer stands, the connection is done with
+                    return ending, note, keep and at == len(came) and connection.quiet()
             if texts:
                 if not forward.began:
                     patience.close()
--- a/tests/sockets/test_fault_injection.py
+++ b/tests/sockets/test_fault_injection.py
@@ -14,6 +14,7 @@
 
 from martenrouter.edge.log import LossyStream, logger
 from martenrouter.wire import http
+from tests.sockets import rig
 from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Engine, request
 from tests.sockets.test_crossings import plain, whole
 from tests.sockets.test_node import Case, ends, hang
@@ -445,6 +446,32 @@
         self.assertLess(time.monotonic() - read_at[0], 0.2 + 0.3)
 
 
+class TheOtherFront(unittest.TestCase):
+    """martenrouter edge: the same mistakes sought there."""
+
+    def setUp(self):
+        self.rig = rig.Rig(rig.Engine("r", "rd"), rig.Engine("w", "wr"))
+        self.addCleanup(self.rig.close)
+
+    def test_a_fault_in_an_attempt_is_an_end_of_it(self):
+        engines, told = self.rig.front.engines, []
+        talk = engines._talk
+
+        def faulty(forward, *args):
+            if forward.role != "read" and not told:
+                told.append(forward)
+                raise KeyError("a fault")
+            return talk(forward, *args)
+        engines._talk = faulty
+        answer, texts, _ = self.rig.ask()
+        self.assertEqual((rig.ending(answer), texts), ("done", ["a", "b", "c"]))
+
+    def test_a_connection_on_which_more_came_than_an_answer_is_not_kept(self):
+        self.rig.engines["w"].script = lambda engine, sock, told, nth: sock.sendall(http.response(503, (), b"{}") * 2)
+        self.rig.ask()
+        self.assertEqual(self.rig.front.engines.kept.idle.get("w", []), [])
+
+
 def raise_reset(sock):
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
