--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -17,8 +17,8 @@
 
 
 class Adopting(unittest.TestCase):
-    def adopted(self, stage, out=(), group="chat", reader=None, since=0, held=False, effect=None, used=1, age=0, **settings):
-        rig = Rig(ROWS, **settings)
+    def adopted(self, stage, out=(), group="chat", reader=None, since=0, held=False, effect=None, used=1, age=0, rows=ROWS, **settings):
+        rig = Rig(rows, **settings)
         told = (group,) + TOLD[1:3] + (rig.now + 4_000_000,) + TOLD[4:]
         rig.front.now, rig.front.out = rig.now, Seen()
         rig.front.adopted(1, told, age, stage, used, reader, since, held, effect, list(out))
@@ -74,9 +74,12 @@
     def test_what_may_have_run_binds_the_next_one(self):
         groups = [{"name": "chat", "effect": "keyed", "repeat_scope": "cell", "repeat_window": 9_000_000, "target": 1_000_000}]
         rows = [row("r1", "rd"), row("w1", "wr", cell=1), row("w2", "wr")]
-        rig = self.adopted(READ, reader="r1", held=True, effect=(1, "w1", 9000, True), used=2, groups=groups)
-        rig.front.listed(2, "whole", rows)
+        rig = self.adopted(READ, reader="r1", held=True, effect=(1, "w1", 9000, True), used=2, groups=groups, rows=rows)
         self.assertEqual(rig.play().all("forward"), [(1, "w1", 0)])
+        # what ran there stays bound to that cell, though the list moves the engine's id to another
+        rig = self.adopted(READ, reader="r1", held=True, effect=(1, "w1", 9000, True), used=2, groups=groups, rows=rows)
+        rig.front.listed(2, "whole", [row("r1", "rd"), row("w1", "wr", cell=2), row("w2", "wr"), row("w3", "wr", cell=1)])
+        self.assertEqual(rig.play().all("forward"), [(1, "w3", 0)])
 
     def test_age_counts_to_the_target_and_tries_to_the_cap(self):
         rig = self.adopted(UNREAD, age=900_000)
