--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -1,13 +1,12 @@
 """All decisions of martenrouter: who reads a req, who writes it, and what is done when that fails.
 
 `Front(seed, settings)` is one router instance; it shares nothing with others. Once a round it is called as
-`turn(now, inbox, out)`: `inbox` holds (call, arguments) pairs for the handlers under "what comes in"; `out`
-takes decisions at once (`forward`, `push_back`, `abort`, `cancel`, `let_go`, `wake`, `subscribe`). Times are
-whole microseconds, ids go back as they came, `settings` is a plain map of names to values. The interface
-stands in martenrouter/drill/codec.py.
+`turn(now, inbox, out)`: `inbox` holds (call, arguments) pairs, `out` takes decisions at once. The interface
+stands in martenrouter/drill/codec.py. Times are whole microseconds, ids go back as they came.
 
 Life of a req: unread -> reading -> read (its state waits at the reader) -> writing -> started -> ended.
 """
+
 from hashlib import blake2b
 from math import exp, log2
 from statistics import median
@@ -15,10 +14,12 @@
 
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
+FAILED = ("error", "unreachable", "reset", "full")  # endings that speak against an engine
 
 
 class Sum:
     """A sum that halves every `half` microseconds, brought up to date when read."""
+
     __slots__ = ("half", "value", "at", "since")
 
     def __init__(self, half):
@@ -44,16 +45,19 @@
 
 def once_a_round(compute):
     """What is the same for all reqs of a round is computed once, until something is sent."""
+
     def look_up(front, of=None):
         key = compute, getattr(of, "id", of)
         if key not in front.same:
             front.same[key] = compute(front) if of is None else compute(front, of)
         return front.same[key]
+
     return look_up
 
 
 class Pace:
     """What a pool of engines needs for a piece of work, from all that this front saw of the pool."""
+
     BASE = 1000  # tokens that stand for the fixed part of each piece: about one step of an engine
 
     def __init__(self):
@@ -92,19 +96,19 @@
     def __init__(self, id):
         self.id, self.up, self.role, self.memory, self.born, self.left = id, False, "", 0, 0, False
         self.cell = self.zone = None
-        self.waiting = {}       # forwards out that have neither started nor ended, oldest first
-        self.pending = 0        # prompt tokens of those
-        self.streams = 0        # tokens of this front's forwards out at a writer, started or not
+        self.waiting = {}  # forwards out that have neither started nor ended, oldest first
+        self.pending = 0  # prompt tokens of those
+        self.streams = 0  # tokens of this front's forwards out at a writer, started or not
         self.answered = self.tested = self.served_to = 0
         self.forget()
 
     def forget(self):
         """A fresh process, also under an old id: nothing learnt of another holds."""
-        self.kept = {}          # prefix or session -> tokens that a reader probably has kept
+        self.kept = {}  # prefix or session -> tokens that a reader probably has kept
         self.load, self.load_at, self.streams_then = None, 0, 0
         self.felt, self.felt_at = 0, 0  # prompt tokens of other fronts that a read found before it
         self.late, self.tries = Sum(4_000_000), Sum(4_000_000)  # follows troubles of some seconds
-        self.failed = 0         # failures since the last answer
+        self.failed = 0  # failures since the last answer
         self.cold_sends = None  # (time, work) of sends while it warms up
 
     def judge(self, now, ratio):
@@ -143,8 +147,6 @@
         self.mean_work, self.buckets, self.carried = {}, {}, {}
         self.marks = self.wake_at = self.asked = self.ask_wait = 0
 
-    # ---- what comes in ----
-
     def turn(self, now, inbox, out):
         self.now, self.out, self.same = now, out, {}
         for call, arguments in inbox:
@@ -179,8 +181,8 @@
                 del self.engines[id]  # ids come and go all day: what left is forgotten after its last forward
 
     def follow_list(self):
-        if self.settings.get("discovery") == "subscribe" and (  # again after a failure, ever later
-                not self.asked or self.ask_wait and self.now >= self.asked + self.ask_wait):
+        again = not self.asked or self.ask_wait and self.now >= self.asked + self.ask_wait  # ever later
+        if self.settings.get("discovery") == "subscribe" and again:
             self.asked = self.now
             self.out.subscribe()
 
@@ -291,14 +293,14 @@
             for key, tokens in ((r.prefix, r.shared), (r.session, r.prompt)):
                 if key:
                     remember(f.engine.kept, key, tokens)
+        missed = ending == "full" and note == 1  # there was no state to fetch: no fault of this writer
         if ending == "read":
             self.learn(f, elapsed)
             r.held = True
-        elif (ending in ("error", "unreachable", "reset") or ending == "timed out" and not f.started
-              or ending == "full" and note != 1):
+        elif ending in FAILED and not missed or ending == "timed out" and not f.started:
             f.engine.fail(self.now, 2 if ending == "unreachable" else 1)  # full too: one that drains
         f.engine.answered = self.now if ending in ("full", "done") else f.engine.answered
-        if r.held and ending == "full" and note == 1:
+        if r.held and missed:
             self.let_go(r)  # its reader may only be cut off from that writer, and hold it all the same
         r.held = r.held and ending != "done"
         if final or r.stage >= STARTED:
@@ -311,11 +313,13 @@
             out = {"unreachable": 0, "not sent": 0, "reset": self.now - f.sent}  # may never have come there:
             r.clock = r.clock + out[ending] if ending in out else self.now  # its state waits on
             r.stage, r.banned = READ if r.held else UNREAD, f.engine
-        if ending == "unreachable" and elapsed >= min(self.settings.get("connect_within", 1), self.release_within):
-            r.shunned = f.engine.cell  # not even refused: others there may be cut off too, and would cost as long
+        never_up = min(self.settings.get("connect_within", 1), self.release_within)
+        if ending == "unreachable" and elapsed >= never_up:
+            r.shunned = f.engine.cell  # others there may be cut off too, and would cost as long
 
     def place(self, *_):
         """Places are not held ahead, fronts decide alone, and look at all they hold whatever wakes them."""
+
     message = timer = place
 
     def gone(self, id):
@@ -359,7 +363,7 @@
 
     def learn(self, f, elapsed):
         self.feel(f, elapsed)
-        # what a cold engine is trusted with: what was answered and read, as it has kept nothing (at least an eighth)
+        # what a cold engine is trusted with: what was answered and read, as it has kept nothing
         part = max(f.cost / max(f.req.prompt, 1), 0.125) if f.reads else 1
         self.carried.setdefault(f.engine.role, Sum(30_000_000)).add(self.now, part * self.usual_work(f.req))
         for way in (f.engine, f.link):
@@ -428,8 +432,6 @@
             self.out.abort(r.id)
         self.finish(r)
 
-    # ---- engines ----
-
     @once_a_round
     def strain(self, engine):
         """How many times later than its pool an engine answers; what is still out counts with its age."""
@@ -447,7 +449,7 @@
 
     @once_a_round
     def pool(self, reads):
-        up, roles = [e for e in self.engines.values() if e.up], ("read", "both") if reads else ("write", "both")
+        up, roles = [e for e in self.engines.values() if e.up], ("read" if reads else "write", "both")
         also = ("write",) if reads and self.settings.get("writers_read") else ()  # alone
         return [e for e in up if e.role in roles] or [e for e in up if e.role in also]
 
@@ -496,7 +498,7 @@
         return sum(w for at, w in engine.cold_sends if at > self.now - window) + work <= budget
 
     def cold_work(self, r):
-        """Never under the mean of all: the budget of an engine that warms up holds in calls, too."""
+        """Never under the mean of all: the budget holds in calls, too."""
         return max(self.usual_work(r), self.usual_work(r, of_all=True))
 
     def usual_work(self, r, of_all=False):
@@ -526,8 +528,7 @@
 
     @once_a_round
     def room(self, engine):
-        """Tokens a writer probably has free: the usual, its report blended in by age, and this front's own,
-        which stand for others' the more the fewer fronts there are."""
+        """Tokens a writer probably has free: the usual, its report blended in by age, this front's own."""
         if not engine.memory:
             return float("inf")
         share = self.held_usually(engine.cell)
@@ -584,8 +585,7 @@
         """Cancels what an engine sits on, and answers what can no longer be served."""
         for r in list(self.live.values()):
             missed = self.now > r.target and any(not f.roomy for f in r.out.values()) and self.harmless(r)
-            # what no engine may get any more is not sat on; one that is out may still be answered
-            over = r.stage in (UNREAD, READ) and not self.repeatable(r)
+            over = r.stage in (UNREAD, READ) and not self.repeatable(r)  # no engine may get it any more
             if self.now >= self.answer_by(r) or missed or over:
                 self.give_up(r)
                 continue
@@ -596,8 +596,8 @@
                 if not again or f.cancelled or self.now - f.sent < self.silence(f):
                     continue
                 # hung: silent while peers answered; lost: one sent later was answered. Else it is only behind
-                peers = any(e.answered > f.sent and (f.reads or self.may_send(r, e))
-                            for e in self.pool(f.reads) if e is not f.engine)
+                later = [e for e in self.pool(f.reads) if e is not f.engine and e.answered > f.sent]
+                peers = any(f.reads or self.may_send(r, e) for e in later)
                 if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
                     for way in (f.engine, f.link):
                         if way and (way.answered < f.sent or way is f.engine and way.served_to > f.sent):
@@ -609,8 +609,7 @@
         unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank)
         if not unread:
             return
-        # tokens ahead of a new read: own ones without an answer, less this front's part of the free; over a
-        # part of n reqs 2 sqrt(n) more: chance, unseen, while little is taken
+        # tokens ahead of a new read: own ones without an answer, less this front's part of the free
         well = [e for e in self.pool(False) if self.strain(e) * self.warmth(e) < 3]
         free, whole = sum(max(self.room(e) - e.memory / 16, 0) for e in well), sum(e.memory for e in well)
         chance = 2 * (free / self.fronts * self.usual_work(unread[0])) ** 0.5
@@ -641,10 +640,9 @@
             return None, pace.expect(self.now, r.prompt), 0
         rank = r.weights  # drawn once, or held reqs would draw them in each round
         rank.update((e.id, draw(r.home, e.id)) for e in engines if e.id not in rank)
-        # a prefix asked for more than a reader's even part has as many homes; the session says which. Ten reqs
-        # more than seen: a young front knows little. Powers of two: all fronts agree
+        # a prefix asked for more than a reader's even part has as many homes, in powers of two: all agree
         often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
-        part = max(often / (self.asked_for.read(self.now) + 10), 1 / 11)
+        part = max(often / (self.asked_for.read(self.now) + 10), 1 / 11)  # ten: a young front knows little
         count = 2 ** round(log2(1 + self.unseen * max(len(self.pool(True)) * part, often * self.fronts / 10)))
         homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[:count]
         pick = max(homes, key=lambda e: draw(r.session or r.id, e.id))
@@ -720,18 +718,20 @@
         return not used or used + r.prompt <= 32_000  # the window; larger ones cross an idle link
 
     def pick_writer(self, r, able, strains):
-        load = {e.id: strains[e.id] * (1 - self.room(e) / e.memory if e.memory else e.streams / 1e6)
-                for e in able}
+        load = {e.id: strains[e.id] * (1 - self.room(e) / e.memory) for e in able if e.memory}
+        load |= {e.id: strains[e.id] * e.streams / 1e6 for e in able if not e.memory}
         least = min(load.values(), default=0)
         near = [e for e in able if load[e.id] <= least + 0.15]  # else clearly busier: a seventh of its memory
-        near = ([e for e in near if e.cell == r.reader.cell] or [e for e in near if e.zone == r.reader.zone]
-                or [e for e in able if load[e.id] == least])
+        cell = [e for e in near if e.cell == r.reader.cell]
+        zone = [e for e in near if e.zone == r.reader.zone]
+        near = cell or zone or [e for e in able if load[e.id] == least]
         return min(near, key=lambda e: (load[e.id], self.chance()), default=None)  # ties: chance
 
     def set_wake(self):
         # looked after every 20 ms, and on time for the release and for the answer that is owed
-        times = [min(self.answer_by(r), self.now + 20_000,
-                     self.release_at(r) if r.stage == READ else r.deadline) for r in self.live.values()]
+        times = [self.now + 20_000] if self.live else []
+        times += [self.answer_by(r) for r in self.live.values()]
+        times += [self.release_at(r) for r in self.live.values() if r.stage == READ]
         if self.ask_wait:
             times.append(self.asked + self.ask_wait)
         due = max(min(times, default=0), self.now + 1)
