--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -4,6 +4,7 @@
 
 All engines are stand-ins, all on one machine.
 """
+
 import heapq
 import os
 import random
@@ -28,7 +29,12 @@
 def admission():
     """A req's way through its four nodes, against a plain dictionary of one count a customer."""
     for customers in (10, 10_000, 200_000):
-        budgets = Budgets(0, lambda key: Limits(cap=10**12, rate=10**9) if key[0] in ("customer", "installation") else None, 1, 4)
+        budgets = Budgets(
+            0,
+            lambda key: Limits(cap=10**12, rate=10**9) if key[0] in ("customer", "installation") else None,
+            1,
+            4,
+        )
         budgets.MOST = 500_000
         names, rnd, plain = ["c%d" % i for i in range(customers)], random.Random(1), {}
         for i, name in enumerate(names):
@@ -46,8 +52,11 @@
             if plain.get(name, 0) + 300 <= 10**12:
                 plain[name] = plain.get(name, 0) + 340
         plainly = time.perf_counter() - began
-        print("%7d customers: reserve, a correction and settle %.1f us a req; one count in a dictionary %.2f us, ratio %.0f" % (
-            customers, took * 1e6 / len(picks), plainly * 1e6 / len(picks), took / plainly), flush=True)
+        print(
+            "%7d customers: reserve, a correction and settle %.1f us a req; one count in a dictionary %.2f us, ratio %.0f"
+            % (customers, took * 1e6 / len(picks), plainly * 1e6 / len(picks), took / plainly),
+            flush=True,
+        )
 
 
 def structures(count=200_000):
@@ -74,8 +83,11 @@
         _, i = heapq.heappop(heap)
         gone.discard(i)
     on_heap = time.perf_counter() - began
-    print("%d reservations, nine of ten settled: wheel %.2f us each, heap %.2f us, ratio %.2f; left behind by what was taken: wheel 0, "
-          "heap all until their time" % (count, on_wheel * 1e6 / count, on_heap * 1e6 / count, on_wheel / on_heap))
+    print(
+        "%d reservations, nine of ten settled: wheel %.2f us each, heap %.2f us, ratio %.2f; left behind by what was taken: wheel 0, "
+        "heap all until their time"
+        % (count, on_wheel * 1e6 / count, on_heap * 1e6 / count, on_wheel / on_heap)
+    )
     heavy, plain = Heavy(256, 60_000_000), {}
     names = ["c%d" % min(int(rnd.paretovariate(0.8)), 200_000) for _ in range(count)]
     began = time.perf_counter()
@@ -84,14 +96,33 @@
     sketched, began = time.perf_counter() - began, time.perf_counter()
     for name in names:
         plain[name] = plain.get(name, 0) + 10
-    print("who is heavy, %d names: 256 kept %.2f us each, dictionary of all %.2f us; the ten heaviest of both alike: %d of 10" % (
-        len(plain), sketched * 1e6 / count, (time.perf_counter() - began) * 1e6 / count,
-        len({name for name, _, _ in heavy.top(10)} & set(sorted(plain, key=plain.get, reverse=True)[:10]))), flush=True)
+    print(
+        "who is heavy, %d names: 256 kept %.2f us each, dictionary of all %.2f us; the ten heaviest of both alike: %d of 10"
+        % (
+            len(plain),
+            sketched * 1e6 / count,
+            (time.perf_counter() - began) * 1e6 / count,
+            len(
+                {name for name, _, _ in heavy.top(10)} & set(sorted(plain, key=plain.get, reverse=True)[:10])
+            ),
+        ),
+        flush=True,
+    )
 
 
 def entry(i):
-    return booking.charge("front-0-18c-%d" % i, "2025-12-01", WALL + i, "customer-%d" % (i % 1000), "chat", None, 900, 120, 1380,
-                          "00-%032x-%016x-01" % (i, i))
+    return booking.charge(
+        "front-0-18c-%d" % i,
+        "2025-12-01",
+        WALL + i,
+        "customer-%d" % (i % 1000),
+        "chat",
+        None,
+        900,
+        120,
+        1380,
+        "00-%032x-%016x-01" % (i, i),
+    )
 
 
 def ledger(count=40_000):
@@ -114,8 +145,11 @@
         bare = time.perf_counter() - began
         env.close()
         shutil.rmtree(holder)
-        print("groups of %3d: %7.0f entries a second; bare values %7.0f, ratio %.2f" % (group, told / took, told / bare, bare / took),
-              flush=True)
+        print(
+            "groups of %3d: %7.0f entries a second; bare values %7.0f, ratio %.2f"
+            % (group, told / took, told / bare, bare / took),
+            flush=True,
+        )
 
 
 def start(sizes=(10_000, 100_000, 1_000_000, 10_000_000)):
@@ -134,12 +168,18 @@
             made = Ledger(os.path.join(holder, "l"), "f")
             at_, _ = made.counters()
             tail = sum(one["units"] for one in made.entries(at_ + 1))
-            print("%9d entries: opened with its tail of %d in %.0f ms" % (size, made.last - at_, (time.perf_counter() - began) * 1000),
-                  flush=True)
+            print(
+                "%9d entries: opened with its tail of %d in %.0f ms"
+                % (size, made.last - at_, (time.perf_counter() - began) * 1000),
+                flush=True,
+            )
             assert tail
         began = time.perf_counter()
         count = sum(1 for _ in made.entries(1))
-        print("without a snapshot all %d entries are read: %.1f s" % (count, time.perf_counter() - began), flush=True)
+        print(
+            "without a snapshot all %d entries are read: %.1f s" % (count, time.perf_counter() - began),
+            flush=True,
+        )
         made.close()
     finally:
         shutil.rmtree(holder)
@@ -147,22 +187,38 @@
 
 def front(rate=130, seconds=12):
     """A front with budgets and a ledger against one without, at the same load."""
-    for name, more in (("without", {}), ("with ledger", {"budgets": {"each_customer": {"cap": 10**12}, "installation": {"cap": 10**12}}})):
+    for name, more in (
+        ("without", {}),
+        ("with ledger", {"budgets": {"each_customer": {"cap": 10**12}, "installation": {"cap": 10**12}}}),
+    ):
         fleet = Fleet(more=more)
         try:
             gevent.sleep(1)
             fleet.load("front", rate, 3)
             direct, run = fleet.load("direct", rate, seconds), fleet.load("front", rate, seconds)
-            print("%-12s done %d of %d; added first token p50 %.2f p99 %.2f ms; %.2f ms of CPU a req" % (
-                name, run["done"], run["asked"], at(run["first"], 50) - at(direct["first"], 50),
-                at(run["first"], 99) - at(direct["first"], 99), run["cpu_ms"]), flush=True)
+            print(
+                "%-12s done %d of %d; added first token p50 %.2f p99 %.2f ms; %.2f ms of CPU a req"
+                % (
+                    name,
+                    run["done"],
+                    run["asked"],
+                    at(run["first"], 50) - at(direct["first"], 50),
+                    at(run["first"], 99) - at(direct["first"], 99),
+                    run["cpu_ms"],
+                ),
+                flush=True,
+            )
         finally:
             fleet.stop()
 
 
 @click.command()
-@click.option("--part", type=click.Choice(["admission", "structures", "ledger", "start", "front"]), multiple=True,
-              default=("admission", "structures", "ledger", "start", "front"))
+@click.option(
+    "--part",
+    type=click.Choice(["admission", "structures", "ledger", "start", "front"]),
+    multiple=True,
+    default=("admission", "structures", "ledger", "start", "front"),
+)
 def main(part):
     for name in part:
         globals()[name]()
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -2,6 +2,7 @@
 
 The stand-ins' model moves in steps that all answers share; a first token then waits up to a step, which hides milliseconds.
 """
+
 import sys
 
 import gevent
@@ -12,13 +13,26 @@
 
 READ_S, FIRST_S, GAP_S, TOKENS = 0.005, 0.005, 0.060, 19  # 130 reqs a second keep 150 streams open
 
-STATE = (b'{"kv_transfer_params":{"do_remote_prefill":true,"remote_request_id":"x"},'
-         b'"usage":{"prompt_tokens":120,"prompt_tokens_details":{"cached_tokens":0}}}')
-PIECE = http.chunk(b'data: {"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":" token"}}]}\n\n')
-LAST = (http.chunk(b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n')
-        + http.chunk(b"data: [DONE]\n\n") + http.chunk(b""))
-HEAD = http.response(200, (("content-type", "text/event-stream"),
-                           ("endpoint-load-metrics", 'JSON {"named_metrics":{"kv_cache_usage":0.1}}')), chunked=True)
+STATE = (
+    b'{"kv_transfer_params":{"do_remote_prefill":true,"remote_request_id":"x"},'
+    b'"usage":{"prompt_tokens":120,"prompt_tokens_details":{"cached_tokens":0}}}'
+)
+PIECE = http.chunk(
+    b'data: {"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":" token"}}]}\n\n'
+)
+LAST = (
+    http.chunk(b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n')
+    + http.chunk(b"data: [DONE]\n\n")
+    + http.chunk(b"")
+)
+HEAD = http.response(
+    200,
+    (
+        ("content-type", "text/event-stream"),
+        ("endpoint-load-metrics", 'JSON {"named_metrics":{"kv_cache_usage":0.1}}'),
+    ),
+    chunked=True,
+)
 
 
 def serve(sock, _):
--- a/bench/fronts.py
+++ b/bench/fronts.py
@@ -1,4 +1,5 @@
 """Fronts to compare with: `python -m bench.fronts NAME edge …` runs the edge with one choice replaced."""
+
 import sys
 
 import random
@@ -16,6 +17,7 @@
     def long_hold(self, settings):
         init(self, settings)
         self.hold_for = 10**9
+
     Conversations.__init__ = long_hold
     Conversations.where = lambda self, talk, engine, suspected: "here" if talk.holder and engine else "anew"
     Conversations.may_rewrite = lambda self, now, talk: False
@@ -26,7 +28,8 @@
     """Lets the state go at once and reads prompt, answer and results anew."""
     step_ended = Conversations.step_ended
     Conversations.step_ended = lambda self, now, talk, engine, born, held, room, calls: step_ended(
-        self, now, talk, engine, born, False, room, calls)
+        self, now, talk, engine, born, False, room, calls
+    )
 
 
 def waits_for_its_planner():
@@ -50,7 +53,14 @@
         for one in facts["reqs"]:
             if not one["paused"]:
                 told = one["told"]
-                self.reqs[one["id"]] = [told[0], told[3], one["stage"], one["used"], one["effect"] is not None, len(one["out"])]
+                self.reqs[one["id"]] = [
+                    told[0],
+                    told[3],
+                    one["stage"],
+                    one["used"],
+                    one["effect"] is not None,
+                    len(one["out"]),
+                ]
 
     def turn(self, now, inbox, out):
         self.out = out
@@ -82,7 +92,11 @@
 
     def _draw(self, kinds):
         able = sorted(id for id, row in self.engines.items() if row[0] == "up" and row[5] in kinds)
-        return self.random.choices(able, [1 / max(self.late.get(id, 1), 0.01) for id in able])[0] if able else None
+        return (
+            self.random.choices(able, [1 / max(self.late.get(id, 1), 0.01) for id in able])[0]
+            if able
+            else None
+        )
 
     def _ended(self, id, n, ending):
         r = self.reqs[id]
@@ -91,7 +105,12 @@
             del self.reqs[id]
         elif ending == "read":
             r[2] = 2
-        elif ending not in ("full", "unreachable", "not sent") and r[2] >= 3 and self.groups[r[0]]["effect"] != "replayable" or r[2] == 4:
+        elif (
+            ending not in ("full", "unreachable", "not sent")
+            and r[2] >= 3
+            and self.groups[r[0]]["effect"] != "replayable"
+            or r[2] == 4
+        ):
             r[4] = True
             self._give_up(id, r)
         else:
@@ -124,6 +143,7 @@
             take_over(self, now, why)
         finally:
             self.make_chain = before
+
     Desk.__init__, Desk._take_over = begin, taken
 
 
@@ -134,14 +154,17 @@
 
 def pushes_back_without_planner():
     """While no planner decides, what arrives is pushed back at once; what is open goes on."""
+
     def closed(chain):
         arrived = chain._arrived
 
         def refused(inner, id, *told):
             chain.out.push_back(id, 500_000, "no planner")
             return False
+
         chain._arrived = refused
         return chain
+
     _instead_of_the_chain(closed)
 
 
--- a/bench/greedy.py
+++ b/bench/greedy.py
@@ -4,6 +4,7 @@
 
 Emulated: 8 fronts, 36 stand-in engines; for half of the day one customer asks for fifteen times as much as each other.
 """
+
 import click
 import msgspec
 
@@ -17,15 +18,24 @@
 def day(seed, budgets):
     drawn = catalogue.draw(seed, "medium", seconds=10, load=0.55, count=0)
     faults = [Fault(at=2, kind="greedy", length=6, value=15)]
-    return msgspec.structs.replace(drawn, name="greedy-%d" % seed, faults=faults, settings={"budgets": budgets} if budgets is not None else {})
+    return msgspec.structs.replace(
+        drawn,
+        name="greedy-%d" % seed,
+        faults=faults,
+        settings={"budgets": budgets} if budgets is not None else {},
+    )
 
 
 @click.command()
 @click.option("--seeds", default=3)
 def main(seeds):
     limits = {"rate_per_s": RATE, "burst": 2 * RATE}
-    ways = (("no limits", None), ("shares alone", {}), ("fixed parts", {"each_customer": limits}),
-            ("open reqs", {"each_customer": {"open": 120}}))
+    ways = (
+        ("no limits", None),
+        ("shares alone", {}),
+        ("fixed parts", {"each_customer": limits}),
+        ("open reqs", {"each_customer": {"open": 120}}),
+    )
     print("%-18s %10s %16s %16s %14s" % ("limits", "greedy", "the other nine", "worst of nine", "all"))
     for name, budgets in ways:
         rows = []
@@ -36,7 +46,11 @@
             rows.append((served["c0"], sum(others) / len(others), min(others), run.figures["service"]))
             if not run.verdict["kept"]:
                 print("seed %d: rules broken" % seed)
-        print("%-18s %10.3f %16.3f %16.3f %14.3f" % (name, *(sum(column) / len(column) for column in zip(*rows))), flush=True)
+        print(
+            "%-18s %10.3f %16.3f %16.3f %14.3f"
+            % (name, *(sum(column) / len(column) for column in zip(*rows))),
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/bench/load.py
+++ b/bench/load.py
@@ -2,6 +2,7 @@
 
 Run by bench/front.py. Arrivals are even in time and don't wait for answers; a late start counts as waiting.
 """
+
 import json
 import random
 import sys
@@ -17,7 +18,12 @@
 
 class Figures:
     def __init__(self):
-        self.first, self.gap, self.done, self.other = HdrHistogram(1, 60_000_000, 3), HdrHistogram(1, 60_000_000, 3), 0, {}
+        self.first, self.gap, self.done, self.other = (
+            HdrHistogram(1, 60_000_000, 3),
+            HdrHistogram(1, 60_000_000, 3),
+            0,
+            {},
+        )
 
 
 class Through:
@@ -37,9 +43,12 @@
             else:
                 self.figures.gap.record_value(max(at - last[0], 1))
             last[0] = at
+
         answer = self.clients[i % len(self.clients)].call(
-            "generate", {"prompt": prompt, "session": "s%d" % (i % 200), "max_tokens": max_tokens, "deadline_ms": 20_000},
-            tokens)
+            "generate",
+            {"prompt": prompt, "session": "s%d" % (i % 200), "max_tokens": max_tokens, "deadline_ms": 20_000},
+            tokens,
+        )
         return "done" if "result" in answer else answer["error"]["data"]["reason"]
 
 
@@ -53,17 +62,25 @@
     def ask(self, i, due, prompt, max_tokens):
         messages = [{"role": "user", "content": prompt}]
         read, body = self.readers[i % len(self.readers)], []
-        self.call(read, engine.read("x", "d-%d-%d" % (clock.now(), i), "00-0-0-01", "m", messages), body.append)
+        self.call(
+            read, engine.read("x", "d-%d-%d" % (clock.now(), i), "00-0-0-01", "m", messages), body.append
+        )
         state = engine.read_answer(b"".join(body)).kv_transfer_params
         events, last = engine.Events(), [None]
 
         def hear(data):
             if any(piece and piece.choices and piece.choices[0].delta.content for piece in events.feed(data)):
                 at = clock.now()
-                (self.figures.gap if last[0] else self.figures.first).record_value(max(at - (last[0] or due), 1))
+                (self.figures.gap if last[0] else self.figures.first).record_value(
+                    max(at - (last[0] or due), 1)
+                )
                 last[0] = at
-        status = self.call(self.writers[i % len(self.writers)],
-                           engine.write("x", "d-%d-w%d" % (clock.now(), i), "00-0-0-01", "m", messages, max_tokens, state), hear)
+
+        status = self.call(
+            self.writers[i % len(self.writers)],
+            engine.write("x", "d-%d-w%d" % (clock.now(), i), "00-0-0-01", "m", messages, max_tokens, state),
+            hear,
+        )
         return "done" if status == 200 else "status %d" % status
 
 
@@ -79,7 +96,7 @@
         if wait > 0:
             gevent.sleep(wait / 1e6)
         at = rnd.randrange(200)
-        prompt = "%d %s" % (i, " ".join(words[at:at + 60]))
+        prompt = "%d %s" % (i, " ".join(words[at : at + 60]))
 
         def one(i=i, due=due, prompt=prompt):
             try:
@@ -90,10 +107,20 @@
                 figures.done += 1
             else:
                 figures.other[ending] = figures.other.get(ending, 0) + 1
+
         work.append(gevent.spawn(one))
     gevent.joinall(work, timeout=25)
-    print(json.dumps({"first": figures.first.encode().decode(), "gap": figures.gap.encode().decode(),
-                      "done": figures.done, "other": figures.other, "asked": len(work)}))
+    print(
+        json.dumps(
+            {
+                "first": figures.first.encode().decode(),
+                "gap": figures.gap.encode().decode(),
+                "done": figures.done,
+                "other": figures.other,
+                "asked": len(work),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/plays.py
+++ b/bench/plays.py
@@ -3,14 +3,15 @@
 A folder holds a file of log lines for each node, as the operators' bench leaves them (a time in seconds ahead of each line). From
 lines of `--log info` come the ends of reqs; with `--log debug` also groups, lengths and forwards. Simulated servers: say so.
 """
+
 import collections
 import json
 import os
 import sys
 
-FEW = 5             # reqs: a process that had fewer says nothing by serving none of them
+FEW = 5  # reqs: a process that had fewer says nothing by serving none of them
 AT_DEADLINE = 0.01  # seconds before its deadline at which a client that closes has waited to the end
-NO_WAIT = 0.05      # seconds: who gives less (bad clients give a millisecond) can't be answered in time
+NO_WAIT = 0.05  # seconds: who gives less (bad clients give a millisecond) can't be answered in time
 
 
 def events(path):
@@ -66,7 +67,12 @@
             self.reqs[told["req"]][3] = end
         if end in ("pushed back", "aborted") and left < 0 and left + told["took"] / 1e6 >= NO_WAIT:
             self.late.append(-left)
-        elif end == "gone" and not told["engine"] and left <= AT_DEADLINE and left + told["took"] / 1e6 >= NO_WAIT:
+        elif (
+            end == "gone"
+            and not told["engine"]
+            and left <= AT_DEADLINE
+            and left + told["took"] / 1e6 >= NO_WAIT
+        ):
             self.unanswered.append(told["req"])
 
     def shares(self):
@@ -79,21 +85,42 @@
         begin, whole = min(row[0] for row in self.reqs.values()), max(row[0] for row in self.reqs.values())
         out = {}
         for group, rows in sorted(groups.items()):
-            longest = sorted(rows, key=lambda row: -row[1])[:max(len(rows) // 10, 1)]
-            thirds = [[row for row in rows if min(int(3 * (row[0] - begin) / max(whole - begin, 1e-9)), 2) == n] for n in range(3)]
+            longest = sorted(rows, key=lambda row: -row[1])[: max(len(rows) // 10, 1)]
+            thirds = [
+                [row for row in rows if min(int(3 * (row[0] - begin) / max(whole - begin, 1e-9)), 2) == n]
+                for n in range(3)
+            ]
             out[group] = (len(rows), _share(rows), _share(longest), [_share(third) for third in thirds])
         return out
 
     def lines(self, name):
         told = ", ".join("%s %d" % pair for pair in sorted(self.ends.items()))
-        yield "%s: %d processes, %d that served nobody; %s" % (name, self.processes, self.nobody, told or "no reqs")
-        yield ("  unanswered to their client's deadline %d, open at a stop %d, answered late %d%s, forwards after the end %d" % (
-            len(self.unanswered), self.open_at_stop, len(self.late), " (%.3f s at most)" % max(self.late) if self.late else "", self.after_end))
+        yield "%s: %d processes, %d that served nobody; %s" % (
+            name,
+            self.processes,
+            self.nobody,
+            told or "no reqs",
+        )
+        yield (
+            "  unanswered to their client's deadline %d, open at a stop %d, answered late %d%s, forwards after the end %d"
+            % (
+                len(self.unanswered),
+                self.open_at_stop,
+                len(self.late),
+                " (%.3f s at most)" % max(self.late) if self.late else "",
+                self.after_end,
+            )
+        )
         if self.faults:
             yield "  faults: " + ", ".join("%s %d" % pair for pair in sorted(self.faults.items()))
         for group, (count, share, longest, thirds) in self.shares().items():
             yield "  %s: %d tries, answered %.2f, the longest tenth %.2f, by thirds %s" % (
-                group, count, share, longest, " ".join("%.2f" % third for third in thirds))
+                group,
+                count,
+                share,
+                longest,
+                " ".join("%.2f" % third for third in thirds),
+            )
 
 
 def _share(rows):
--- a/martenrouter/__main__.py
+++ b/martenrouter/__main__.py
@@ -1,4 +1,5 @@
 """python -m martenrouter: the command line."""
+
 from martenrouter.cli.main import main
 
 main()
--- a/martenrouter/cli/config.py
+++ b/martenrouter/cli/config.py
@@ -1,4 +1,5 @@
 """`martenrouter config`: settings checked and shown without starting anything."""
+
 import click
 
 
@@ -9,6 +10,7 @@
 
 def _load(path, given):
     from martenrouter.settings.front import load
+
     return load(path, given)
 
 
@@ -30,5 +32,6 @@
     import msgspec
 
     from martenrouter.settings.front import for_module
+
     settings = _load(path, given)
     click.echo(msgspec.json.format(msgspec.json.encode(for_module(settings) if module else settings)))
--- a/martenrouter/cli/edge.py
+++ b/martenrouter/cli/edge.py
@@ -1,4 +1,5 @@
 """`martenrouter edge`: one front, serving until it is told to stop."""
+
 import sys
 
 import click
@@ -7,8 +8,14 @@
 @click.command("edge")
 @click.argument("path", required=False, type=click.Path())
 @click.option("--set", "given", multiple=True, metavar="NAME=VALUE", help="A parameter of the settings file.")
-@click.option("--planner", default=None, type=click.Path(), help="Unix socket for a planner, in place of the settings'.")
-@click.option("--with-stdin", is_flag=True, help="Stop at once when standard input ends: for programs that start a front.")
+@click.option(
+    "--planner", default=None, type=click.Path(), help="Unix socket for a planner, in place of the settings'."
+)
+@click.option(
+    "--with-stdin",
+    is_flag=True,
+    help="Stop at once when standard input ends: for programs that start a front.",
+)
 def command(path, given, planner, with_stdin):
     """Serves clients; settings from PATH (Jsonnet), or the embedded defaults.
 
@@ -19,6 +26,7 @@
     from martenrouter.edge.log import logger
     from martenrouter.settings.front import load
     from martenrouter.state.ledger import Unusable
+
     settings = load(path, given)
     if planner:
         settings.planner = planner
@@ -31,6 +39,8 @@
     except Unusable as why:
         raise click.ClickException("%s: %s" % (settings.name, why)) from why
     except OSError as why:
-        raise click.ClickException("%s: can't listen on %s%s: %s" % (
-            settings.name, settings.listen, " and " + settings.planner if settings.planner else "", why)) from why
+        raise click.ClickException(
+            "%s: can't listen on %s%s: %s"
+            % (settings.name, settings.listen, " and " + settings.planner if settings.planner else "", why)
+        ) from why
     sys.exit(code)
--- a/martenrouter/cli/front.py
+++ b/martenrouter/cli/front.py
@@ -1,4 +1,5 @@
 """`martenrouter front`: one front as two programs."""
+
 import os
 import sys
 import tempfile
@@ -15,6 +16,7 @@
     from martenrouter.edge.log import logger
     from martenrouter.planner.supervisor import Supervisor, commands
     from martenrouter.settings.front import load
+
     settings = load(path, given)
     log = logger(settings.log.form, settings.log.level, supervisor=settings.name)
     with tempfile.TemporaryDirectory(prefix="martenrouter-") as folder:
--- a/martenrouter/cli/judge.py
+++ b/martenrouter/cli/judge.py
@@ -1,4 +1,5 @@
 """`martenrouter judge`: the rules, read from traffic records alone."""
+
 import sys
 
 import click
@@ -10,6 +11,7 @@
 def command(directory, as_json):
     """Judges the records in DIRECTORY; exit 0 only if every rule was kept."""
     from martenrouter.lab.verdict import text, verdict
+
     told, first = verdict(directory)
     show(told, first, as_json, text)
     sys.exit(0 if told["kept"] else 1)
@@ -17,4 +19,5 @@
 
 def show(told, first, as_json, text):
     import msgspec
+
     click.echo(msgspec.json.format(msgspec.json.encode(told)) if as_json else text(told, first))
--- a/martenrouter/cli/ledger.py
+++ b/martenrouter/cli/ledger.py
@@ -1,4 +1,5 @@
 """`martenrouter ledger`: export, close, correct, verify, reconcile."""
+
 import json
 import os
 import sys
@@ -14,6 +15,7 @@
 
 def _opened(path, front, read_only=False):
     from martenrouter.state.ledger import Ledger, Unusable
+
     if not os.path.isdir(path):
         raise click.ClickException("%s: there is no ledger" % path)
     try:
@@ -25,6 +27,7 @@
 def _guarded(work):
     from martenrouter.decisions.booking import BadEntry
     from martenrouter.state.ledger import Unusable
+
     try:
         return work()
     except (Unusable, BadEntry) as why:
@@ -52,34 +55,56 @@
 def close(path, period, front):
     """Closes a calendar PERIOD that is over, as 2026-11, 2026-11-30 or 2026-11-30T23."""
     from martenrouter.decisions import booking, periods
+
     try:
         date = period.partition("T")[0].split("-") + ["1"]
-        wall = periods.days_of(int(date[0]), int(date[1]), int(date[2])) * periods.DAY + int(period.partition("T")[2] or 0) * periods.HOUR
+        wall = (
+            periods.days_of(int(date[0]), int(date[1]), int(date[2])) * periods.DAY
+            + int(period.partition("T")[2] or 0) * periods.HOUR
+        )
         kind = "hour" if "T" in period else "day" if period.count("-") == 2 else "month"
         name, _, end = periods.calendar(kind, wall)
     except (ValueError, IndexError):
         name = None
     if name != period:
-        raise click.ClickException("%r is no calendar period, as in 2026-11, 2026-11-30, 2026-11-30T23" % period)
+        raise click.ClickException(
+            "%r is no calendar period, as in 2026-11, 2026-11-30, 2026-11-30T23" % period
+        )
     ledger = _opened(path, front)
-    entry = _guarded(lambda: ledger.close_period(period, booking.counts, lambda totals: booking.close(
-        front, period, end, time.time_ns() // 1000, totals)))
+    entry = _guarded(
+        lambda: ledger.close_period(
+            period,
+            booking.counts,
+            lambda totals: booking.close(front, period, end, time.time_ns() // 1000, totals),
+        )
+    )
     click.echo(json.dumps(entry, indent=1))
 
 
-@command.command("correct", context_settings={"ignore_unknown_options": True})  # units may be less than nothing
+@command.command(
+    "correct", context_settings={"ignore_unknown_options": True}
+)  # units may be less than nothing
 @click.argument("path", type=click.Path())
 @click.argument("identity")
 @click.argument("units", type=int)
 @click.option("--front", required=True)
 @click.option("--why", required=True, help="What is put right; stands in the entry.")
-@click.option("--period", "kind", type=click.Choice(["hour", "day", "month"]), default="day", show_default=True)
+@click.option(
+    "--period", "kind", type=click.Choice(["hour", "day", "month"]), default="day", show_default=True
+)
 def correct(path, identity, units, front, why, kind):
     """Books UNITS more (or less) against the entry IDENTITY, in the period that is on; also when that entry was exported."""
     from martenrouter.decisions import booking, periods
+
     ledger, wall = _opened(path, front), time.time_ns() // 1000
-    entry = _guarded(lambda: ledger.correct(identity, lambda known, number: booking.correction(
-        known, periods.calendar(kind, wall)[0], wall, number, units, why)))
+    entry = _guarded(
+        lambda: ledger.correct(
+            identity,
+            lambda known, number: booking.correction(
+                known, periods.calendar(kind, wall)[0], wall, number, units, why
+            ),
+        )
+    )
     click.echo(json.dumps(entry, indent=1))
 
 
@@ -108,14 +133,21 @@
     """Adds up the exports of many fronts, files or directories; names gaps, doubles and contradictions. Exit 1 when something is wrong."""
     from martenrouter.decisions import booking
     from martenrouter.state.ledger import read_export
+
     names = []
     for one in files:
-        names += sorted(os.path.join(one, name) for name in os.listdir(one) if name.endswith(".jsonl")) if os.path.isdir(one) else [one]
+        names += (
+            sorted(os.path.join(one, name) for name in os.listdir(one) if name.endswith(".jsonl"))
+            if os.path.isdir(one)
+            else [one]
+        )
     told = booking.reconcile([_guarded(lambda name=name: read_export(name)) for name in names])
     if as_json:
         click.echo(json.dumps(told, indent=1))
     else:
-        click.echo("%-16s %-14s %14s %12s %12s %8s" % ("customer", "period", "units", "prompt", "written", "entries"))
+        click.echo(
+            "%-16s %-14s %14s %12s %12s %8s" % ("customer", "period", "units", "prompt", "written", "entries")
+        )
         for customer, period, units, prompt, written, count in told["totals"]:
             click.echo("%-16s %-14s %14d %12d %12d %8d" % (customer, period, units, prompt, written, count))
         for name in ("missing", "doubled", "doubled entries", "contradictions", "torn", "after a close"):
--- a/martenrouter/cli/main.py
+++ b/martenrouter/cli/main.py
@@ -1,4 +1,5 @@
 """`martenrouter`: the group of all sub-commands, and how a failure is said."""
+
 import sys
 
 import click
@@ -7,9 +8,20 @@
 class Group(click.Group):
     """Sub-commands are imported when they are called: an engine doesn't load what a judge needs."""
 
-    WHERE = {"edge": "edge", "standin": "standin", "ask": "ask", "config": "config", "rehearse": "rehearse",
-             "judge": "judge", "lab": "lab", "ledger": "ledger", "load": "load", "planner": "planner", "front": "front",
-             "node": "node"}
+    WHERE = {
+        "edge": "edge",
+        "standin": "standin",
+        "ask": "ask",
+        "config": "config",
+        "rehearse": "rehearse",
+        "judge": "judge",
+        "lab": "lab",
+        "ledger": "ledger",
+        "load": "load",
+        "planner": "planner",
+        "front": "front",
+        "node": "node",
+    }
 
     def list_commands(self, ctx):
         return sorted(self.WHERE)
@@ -48,4 +60,5 @@
     """Asked only when something failed: a front node doesn't load Jsonnet for it."""
     from martenrouter.settings.load import BadSettings
     from martenrouter.state.records import BadRecord
+
     return isinstance(why, (BadSettings, BadRecord))
--- a/martenrouter/cli/node.py
+++ b/martenrouter/cli/node.py
@@ -1,4 +1,5 @@
 """`martenrouter node`: one front node of the operators' platform, serving until it is told to stop."""
+
 import os
 import sys
 
@@ -7,7 +8,13 @@
 
 @click.command("node")
 @click.argument("path", required=False, type=click.Path())
-@click.option("--log", "level", default="info", type=click.Choice(["debug", "info", "warning", "error"]), help="Least level logged.")
+@click.option(
+    "--log",
+    "level",
+    default="info",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    help="Least level logged.",
+)
 @click.option("--plain", is_flag=True, help="Log lines for a person, not JSON.")
 def command(path, level, plain):
     """Serves clients of the platform; the configuration comes from PATH, or from the file that $EDGE_CONFIG names.
@@ -15,12 +22,14 @@
     SIGTERM or SIGINT stops it cleanly, SIGHUP reads PATH anew, SIGUSR1 logs what it believes of engines beside its sockets.
     """
     from martenrouter.node.signals import Early
+
     early = Early()  # before what takes time to load
     from martenrouter.cli.life import settle_memory
     from martenrouter.edge.log import logger
     from martenrouter.node.life import Node
     from martenrouter.settings.told import Unreadable
     from martenrouter.wire.platform import configuration
+
     path = path or os.environ.get("EDGE_CONFIG")
     if not path:
         raise click.ClickException("no configuration: name its file, or set EDGE_CONFIG to it")
@@ -35,6 +44,8 @@
     try:
         code = node.run(early)
     except OSError as why:
-        raise click.ClickException("can't listen on %s:%d: %s; free the address or name another as listen" % (
-            *node.listen, why.strerror)) from why
+        raise click.ClickException(
+            "can't listen on %s:%d: %s; free the address or name another as listen"
+            % (*node.listen, why.strerror)
+        ) from why
     sys.exit(code)
--- a/martenrouter/cli/planner.py
+++ b/martenrouter/cli/planner.py
@@ -1,4 +1,5 @@
 """`martenrouter planner`: decides for one edge."""
+
 import sys
 
 import click
@@ -15,6 +16,7 @@
     from martenrouter.cli.life import end_with_stdin, settle_memory
     from martenrouter.edge.log import logger
     from martenrouter.planner.serve import Planner, Refused
+
     settle_memory()
     if with_stdin:
         end_with_stdin()
--- a/martenrouter/cli/rehearse.py
+++ b/martenrouter/cli/rehearse.py
@@ -1,4 +1,5 @@
 """`martenrouter rehearse`: a scripted day through real fronts on loopback, then the judge's verdict."""
+
 import os
 import shutil
 import signal
@@ -12,9 +13,16 @@
 @click.argument("scenario", required=False)
 @click.option("--list", "names", is_flag=True, help="Name the scenarios and stop.")
 @click.option("--seed", default=1, show_default=True)
-@click.option("--speed", default=1.0, show_default=True, help="The day this many times faster, engines and traffic alike.")
+@click.option(
+    "--speed",
+    default=1.0,
+    show_default=True,
+    help="The day this many times faster, engines and traffic alike.",
+)
 @click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
-@click.option("--records", type=click.Path(), help="Keep the traffic records in this directory, which must be empty.")
+@click.option(
+    "--records", type=click.Path(), help="Keep the traffic records in this directory, which must be empty."
+)
 @click.option("--quiet", is_flag=True, help="No progress on standard error.")
 def command(scenario, names, seed, speed, as_json, records, quiet):
     """Plays SCENARIO (a name or a Jsonnet file). Exit 0 only if every rule was kept and all was as it expects."""
@@ -24,6 +32,7 @@
     from martenrouter.lab.audit import audited
     from martenrouter.lab.verdict import text, verdict
     from martenrouter.settings.load import BadSettings
+
     if names:
         for name in scenarios.names():
             click.echo("%-16s %s" % (name, scenarios.load(name).about))
@@ -36,7 +45,9 @@
     if records and os.path.isdir(records) and os.listdir(records):
         raise BadSettings("--records %s: is not empty" % records)
     directory = records or tempfile.mkdtemp(prefix="records-")
-    rehearsal = Rehearsal(day, seed, directory, speed, (lambda line: None) if quiet else lambda line: click.echo(line, err=True))
+    rehearsal = Rehearsal(
+        day, seed, directory, speed, (lambda line: None) if quiet else lambda line: click.echo(line, err=True)
+    )
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
         if not quiet:
--- a/martenrouter/cli/standin.py
+++ b/martenrouter/cli/standin.py
@@ -1,4 +1,5 @@
 """`martenrouter standin`: engines and a list service that are none, to try a front against."""
+
 import click
 
 LISTEN = "127.0.0.1:0"
@@ -10,7 +11,9 @@
 
 
 @command.command("engine")
-@click.option("--spec", default=None, help="The whole specification as JSON; the options below are read without it.")
+@click.option(
+    "--spec", default=None, help="The whole specification as JSON; the options below are read without it."
+)
 @click.option("--id", "name", default="rd-1", show_default=True)
 @click.option("--role", type=click.Choice(["read", "write", "both"]), default="both", show_default=True)
 @click.option("--listen", default=LISTEN, show_default=True)
@@ -24,6 +27,7 @@
     from martenrouter.settings.load import BadSettings, checked
     from martenrouter.standins.engine import Engine
     from martenrouter.standins.model import Spec
+
     if spec:
         try:
             told = msgspec.json.decode(spec)
@@ -31,14 +35,18 @@
             raise BadSettings("--spec: not JSON: %s" % why) from why
         spec = checked(told, Spec, "--spec")
     else:
-        spec = Spec(id=name, role=role, kind={"read": "rd", "write": "wr", "both": "mix"}[role], listen=listen)
+        spec = Spec(
+            id=name, role=role, kind={"read": "rd", "write": "wr", "both": "mix"}[role], listen=listen
+        )
     _serve(Engine(spec, records), "engine %s (%s)" % (spec.id, spec.role), with_stdin and stop_with_stdin)
 
 
 @command.command("list")
 @click.option("--listen", default="127.0.0.1:7800", show_default=True)
 @click.option("--late-ms", default=0.0, show_default=True, help="Time between a change and its push.")
-@click.option("--engine", "engines", multiple=True, metavar="ID=KIND@HOST:PORT", help="An engine of the first list.")
+@click.option(
+    "--engine", "engines", multiple=True, metavar="ID=KIND@HOST:PORT", help="An engine of the first list."
+)
 @click.option("--records", default=None, type=click.Path())
 @click.option("--with-stdin", is_flag=True)
 def list_service(listen, late_ms, engines, records, with_stdin):
@@ -47,6 +55,7 @@
     from martenrouter.settings.front import address
     from martenrouter.standins.list_service import ListService
     from martenrouter.wire.nodes import Entry
+
     entries = []
     for text in engines:
         name, _, rest = text.partition("=")
@@ -60,7 +69,9 @@
 
 
 @command.command("client")
-@click.option("--front", "fronts", multiple=True, default=["127.0.0.1:7801"], show_default=True, metavar="HOST:PORT")
+@click.option(
+    "--front", "fronts", multiple=True, default=["127.0.0.1:7801"], show_default=True, metavar="HOST:PORT"
+)
 @click.option("--group", default="chat", show_default=True, help="Endpoint group that its reqs name.")
 @click.option("--rate", default=5.0, show_default=True, help="Reqs a second, whatever the answers do.")
 @click.option("--seconds", default=10.0, show_default=True)
@@ -75,13 +86,17 @@
     from martenrouter.settings.front import address
     from martenrouter.standins.clients import Clients
     from martenrouter.state.records import recorder
+
     counts, write = collections.Counter(), recorder(records, "clients")
 
     def record(ev, **fields):
         counts[fields["ending"] if ev == "final_in" else ev] += 1
         write(ev, **fields)
+
     named = {"front-%d" % i: address(text, "--front") for i, text in enumerate(fronts)}
-    clients = Clients(named, Traffic(rate=rate), [{"name": group, "effect": "replayable"}], random.Random(seed), record)
+    clients = Clients(
+        named, Traffic(rate=rate), [{"name": group, "effect": "replayable"}], random.Random(seed), record
+    )
     clients.run(seconds)
     counts["unanswered"] += clients.drain(15)
     for name, count in sorted(counts.items()):
@@ -90,6 +105,7 @@
 
 def _serve(server, name, stop_with_stdin):
     import gevent
+
     if stop_with_stdin:
         stop_with_stdin()
     host, port = server.start()[:2]
--- a/martenrouter/decisions/admission.py
+++ b/martenrouter/decisions/admission.py
@@ -11,7 +11,7 @@
         self.advice_cap, self.groups = settings["advice_cap"], settings["groups"]
         self.open, self.by_connection = {}, {}  # req -> connection; connection -> how many
         self.stopping = False
-        self.ended = []   # times of the last ends, the newest at the end: how quickly room comes back
+        self.ended = []  # times of the last ends, the newest at the end: how quickly room comes back
 
     def arrived(self, now, id, group, connection, deadline):
         if self.stopping:
--- a/martenrouter/decisions/background.py
+++ b/martenrouter/decisions/background.py
@@ -15,9 +15,11 @@
 
 
 class Background:
-    SHARE = 0.02          # of the time: a round waits two hundredths longer on average, which is within their scatter
-    SAVED = 1_000_000     # the budget saves up for this long at the most: work after a quiet hour comes in no burst
-    STARVED = 4           # periods after which the less important goes first
+    SHARE = 0.02  # of the time: a round waits two hundredths longer on average, which is within their scatter
+    SAVED = (
+        1_000_000  # the budget saves up for this long at the most: work after a quiet hour comes in no burst
+    )
+    STARVED = 4  # periods after which the less important goes first
 
     def __init__(self, now, share=SHARE):
         self.share, self.works = share, {}
@@ -34,7 +36,15 @@
         if not due or self.budget <= 0:
             return None
         # what has waited for some of its periods goes first, then importance, then who has waited longest
-        work = min(due, key=lambda work: (now - work.due < self.STARVED * work.every, -work.importance, work.due, work.name))
+        work = min(
+            due,
+            key=lambda work: (
+                now - work.due < self.STARVED * work.every,
+                -work.importance,
+                work.due,
+                work.name,
+            ),
+        )
         # a slice dearer than all that can be saved is begun when the budget is full, or it would never be
         if work.usual > self.budget and self.budget < self.SAVED * self.share:
             return None
--- a/martenrouter/decisions/booking.py
+++ b/martenrouter/decisions/booking.py
@@ -5,6 +5,7 @@
 itself, so that the last word is the sum. An entry belongs to the period in which it was settled, which is never an earlier one than
 that of the entry before it: a period that was closed gets nothing more, and an answer that streams over its end counts to the next.
 """
+
 CHARGE, CORRECTION, CLOSE, RESOLVED = "charge", "correction", "close", "resolved"
 KINDS = (CHARGE, CORRECTION, CLOSE, RESOLVED)
 
@@ -14,14 +15,38 @@
 
 
 def charge(identity, period, wall, customer, group, session, prompt, written, units, trace=None):
-    return {"id": identity, "kind": CHARGE, "period": period, "wall": wall, "customer": customer, "group": group, "session": session,
-            "prompt": prompt, "written": written, "units": units, "of": None, "why": trace}
+    return {
+        "id": identity,
+        "kind": CHARGE,
+        "period": period,
+        "wall": wall,
+        "customer": customer,
+        "group": group,
+        "session": session,
+        "prompt": prompt,
+        "written": written,
+        "units": units,
+        "of": None,
+        "why": trace,
+    }
 
 
 def resolved(identity, period, wall, customer, group, session):
     """A reservation that a crash left: its client was told nothing, so nothing is charged, and it is said."""
-    return {"id": identity + "/resolved", "kind": RESOLVED, "period": period, "wall": wall, "customer": customer, "group": group,
-            "session": session, "prompt": 0, "written": 0, "units": 0, "of": identity, "why": "left by a crash"}
+    return {
+        "id": identity + "/resolved",
+        "kind": RESOLVED,
+        "period": period,
+        "wall": wall,
+        "customer": customer,
+        "group": group,
+        "session": session,
+        "prompt": 0,
+        "written": 0,
+        "units": 0,
+        "of": identity,
+        "why": "left by a crash",
+    }
 
 
 def correction(known, period, wall, number, units, why, prompt=0, written=0):
@@ -33,9 +58,20 @@
         raise BadEntry("%s is a %s; charges and corrections can be corrected" % (known["id"], known["kind"]))
     if not units and not prompt and not written:
         raise BadEntry("a correction of nothing to %s" % known["id"])
-    return {"id": "%s/c%d" % (known["id"], number + 1), "kind": CORRECTION, "period": period, "wall": wall,
-            "customer": known["customer"], "group": known["group"], "session": known["session"], "prompt": prompt,
-            "written": written, "units": units, "of": known["id"], "why": why}
+    return {
+        "id": "%s/c%d" % (known["id"], number + 1),
+        "kind": CORRECTION,
+        "period": period,
+        "wall": wall,
+        "customer": known["customer"],
+        "group": known["group"],
+        "session": known["session"],
+        "prompt": prompt,
+        "written": written,
+        "units": units,
+        "of": known["id"],
+        "why": why,
+    }
 
 
 def close(front, period, period_end, wall, totals):
@@ -43,9 +79,21 @@
     that is on, which never goes back (periods.Calendar). Raises BadEntry for one that is not over."""
     if wall < period_end:
         raise BadEntry("period %s is not over" % period)
-    return {"id": "%s/close/%s" % (front, period), "kind": CLOSE, "period": period, "wall": wall, "customer": None, "group": None,
-            "session": None, "prompt": 0, "written": 0, "units": sum(totals.values()), "of": None,
-            "why": None, "totals": sorted(totals.items(), key=lambda one: str(one[0]))}
+    return {
+        "id": "%s/close/%s" % (front, period),
+        "kind": CLOSE,
+        "period": period,
+        "wall": wall,
+        "customer": None,
+        "group": None,
+        "session": None,
+        "prompt": 0,
+        "written": 0,
+        "units": sum(totals.values()),
+        "of": None,
+        "why": None,
+        "totals": sorted(totals.items(), key=lambda one: str(one[0])),
+    }
 
 
 def counts(entry):
@@ -106,11 +154,18 @@
             elif fresh and (front, entry["period"]) in closed:
                 wrong_close.append(entry["id"])
     found = {front: gaps(ranges) for front, ranges in sorted(by_front.items())}
-    return {"totals": [[customer, period, *held] for (customer, period), held in sorted(sums.of.items(), key=str)],
-            "entries": len(sums.seen), "doubled entries": sorted(sums.same), "contradictions": sorted(sums.contradictions),
-            "missing": [[front, *span] for front, (missing, _) in found.items() for span in missing],
-            "doubled": [[front, *span] for front, (_, doubled) in found.items() for span in doubled],
-            "torn": [list(one) for one in torn], "after a close": sorted(wrong_close)}
+    return {
+        "totals": [
+            [customer, period, *held] for (customer, period), held in sorted(sums.of.items(), key=str)
+        ],
+        "entries": len(sums.seen),
+        "doubled entries": sorted(sums.same),
+        "contradictions": sorted(sums.contradictions),
+        "missing": [[front, *span] for front, (missing, _) in found.items() for span in missing],
+        "doubled": [[front, *span] for front, (_, doubled) in found.items() for span in doubled],
+        "torn": [list(one) for one in torn],
+        "after a close": sorted(wrong_close),
+    }
 
 
 def in_order(told):
--- a/martenrouter/decisions/budgets.py
+++ b/martenrouter/decisions/budgets.py
@@ -16,25 +16,45 @@
 (tests.test_budgets proves it for random orders of events). With `on_cap` "end" nobody gets it and the cap is passed by nothing; with
 "finish" all may be finished, and the bound is what was open.
 """
+
 from martenrouter.decisions.periods import period
 from martenrouter.decisions.wheel import Wheel
 
-TICK = 100_000         # of the wheel: a lost reservation is freed a tenth of a second late at the most
+TICK = 100_000  # of the wheel: a lost reservation is freed a tenth of a second late at the most
 ROOT = ("installation",)
 
 
 class Limits:
     """What a node is held to. `cap`: units a period, or None; `rate`: units a second, or None, with `burst` units saved up;
     `open`: reqs at a time, or None; `share`: its part of its parent when that is short."""
+
     __slots__ = ("cap", "period", "rate", "burst", "open", "share", "on_cap")
 
     def __init__(self, cap=None, period="day", rate=None, burst=None, open=None, share=1.0, on_cap="one"):
-        self.cap, self.period, self.rate, self.open, self.share, self.on_cap = cap, period, rate, open, share, on_cap
+        self.cap, self.period, self.rate, self.open, self.share, self.on_cap = (
+            cap,
+            period,
+            rate,
+            open,
+            share,
+            on_cap,
+        )
         self.burst = burst if burst is not None else rate
 
 
 class Node:
-    __slots__ = ("key", "limits", "period", "reserved", "open", "level", "level_at", "grace", "used_at", "children")
+    __slots__ = (
+        "key",
+        "limits",
+        "period",
+        "reserved",
+        "open",
+        "level",
+        "level_at",
+        "grace",
+        "used_at",
+        "children",
+    )
 
     def __init__(self, key, limits, now):
         self.key, self.limits = key, limits
@@ -56,6 +76,7 @@
 
 class Refusal:
     """Why a req isn't taken: which node, which of its limits, and microseconds until it has room again (None: never as it is)."""
+
     __slots__ = ("key", "limit", "after")
 
     def __init__(self, key, limit, after):
@@ -81,8 +102,8 @@
         self.limits_of, self.read_price, self.write_price = limits_of, read_price, write_price
         self.part = part or (lambda key: 1.0)
         self.nodes, self.open, self.lapses = {}, {}, Wheel(now, TICK)
-        self.house = {}            # why -> units that engines worked for nobody
-        self.refused = {}          # limit -> count
+        self.house = {}  # why -> units that engines worked for nobody
+        self.refused = {}  # limit -> count
 
     # ---- nodes ----
 
@@ -108,9 +129,12 @@
 
     def _forget(self, now):
         """Sessions and customers that hold nothing and spent nothing that counts. A node with a cap keeps what it spent."""
-        idle = sorted((node.used_at, str(key), key) for key, node in self.nodes.items()
-                      if not node.open and (node.period is None or not node.period.read(node.used_at)))
-        for _, _, key in idle[:max(self.MOST // 16, 1)]:
+        idle = sorted(
+            (node.used_at, str(key), key)
+            for key, node in self.nodes.items()
+            if not node.open and (node.period is None or not node.period.read(node.used_at))
+        )
+        for _, _, key in idle[: max(self.MOST // 16, 1)]:
             del self.nodes[key]
 
     def cap(self, node):
@@ -156,7 +180,9 @@
             if node.period.read(wall) + node.reserved + amount > cap:
                 at = node.period.room_at(wall, amount + node.reserved, cap)
                 if at is None:
-                    at = node.period.room_at(wall, amount, cap)  # what is reserved is settled or lapses before
+                    at = node.period.room_at(
+                        wall, amount, cap
+                    )  # what is reserved is settled or lapses before
                 return Refusal(node.key, "cap", None if at is None else max(at - wall, 0))
         return None
 
@@ -279,8 +305,11 @@
 
     def export(self):
         """What has been spent, as plain data. Reservations are no part of it: after a crash they are resolved by the ledger's rule."""
-        return [[list(key), node.period.state(), node.limits.period] for key, node in sorted(self.nodes.items(), key=lambda one: str(one[0]))
-                if node.period is not None]
+        return [
+            [list(key), node.period.state(), node.limits.period]
+            for key, node in sorted(self.nodes.items(), key=lambda one: str(one[0]))
+            if node.period is not None
+        ]
 
     def put(self, now, told):
         for key, state, kind in told:
--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -16,6 +16,7 @@
 `end_stream(id, n)`, which closes a begun forward, and what decisions/conversations.py names. Ids of forwards' reqs are leg
 ids. One logic decides wherever it runs: the edge's own process, a planner, the laboratory.
 """
+
 from martenrouter.decisions.admission import Admission
 from martenrouter.decisions.conversations import Conversations, leg_id, req_of
 from martenrouter.decisions.gate import Gate
@@ -23,7 +24,9 @@
 from martenrouter.decisions.streams import Streams
 from martenrouter.rules import UNREAD, Front
 
-OF_A_REQ = frozenset("first_token outcome gone swamped call changed step tool".split())  # calls that begin with an id
+OF_A_REQ = frozenset(
+    "first_token outcome gone swamped call changed step tool".split()
+)  # calls that begin with an id
 STREAM_LOOK = 200_000  # stalls are judged in seconds; looking each fifth of one is early enough
 
 
@@ -34,13 +37,15 @@
         self.talks = Conversations(settings)
         self.settings, self.groups = settings, settings["groups"]
         self.gate = Gate(settings["shares"]) if settings.get("shares") else None
-        self.whole = {}      # open req -> (group, deadline of the whole answer)
+        self.whole = {}  # open req -> (group, deadline of the whole answer)
         self._ended_before, self._swamped_before, self._orphans = [], [], []
         self.pending = set()  # open reqs of a decider before this one, of which the facts are still to come
         self.next_legs = []  # calls of the module that begin legs found due in this round
         self.stop_by = None
         self.looked, self.wake_at = 0, 0
-        self.stream_due = None  # when a begun stream is next to be looked at; computed at each look, not each round
+        self.stream_due = (
+            None  # when a begun stream is next to be looked at; computed at each look, not each round
+        )
 
     def turn(self, now, inbox, out):
         self.now, self.out = now, out
@@ -107,7 +112,12 @@
             self._orphans.append(id)
         self.talks.begun(self.now, id, *told)
         talk = self.talks.talks[id]
-        talk.leg, talk.steps, talk.rewrites, talk.effects = one["leg"], one["steps"], one["rewrites"], one["effects"]
+        talk.leg, talk.steps, talk.rewrites, talk.effects = (
+            one["leg"],
+            one["steps"],
+            one["rewrites"],
+            one["effects"],
+        )
         talk.prompt, talk.max_out, talk.flowed = one["prompt"], one["left"], one["flowed"]
         leg = leg_id(id, talk.leg)
         self.talks.adopt_calls(self.now, talk, one["calls"])
@@ -123,9 +133,18 @@
         if talk.leg == 0 and not one["used"] and one["stage"] == 0:
             self.next_legs.append(("arrived", self._told(talk, leg)))  # nothing was decided for it yet
             return
-        self.front.adopted(leg, self._told(talk, leg)[1:], one["age"], one["stage"], one["used"], one["reader"],
-                           one["since"], one["held"], one["effect"] and tuple(one["effect"]),
-                           [tuple(forward) for forward in one["out"]])
+        self.front.adopted(
+            leg,
+            self._told(talk, leg)[1:],
+            one["age"],
+            one["stage"],
+            one["used"],
+            one["reader"],
+            one["since"],
+            one["held"],
+            one["effect"] and tuple(one["effect"]),
+            [tuple(forward) for forward in one["out"]],
+        )
         if one["effect"] and not one["out"] and self.groups[group]["effect"] == "non-replayable":
             self._ended_before.append(leg)
         for n, engine, _, began in one["out"]:
@@ -162,18 +181,37 @@
 
     # ---- calls that concern more than the module: True hands the call on to it as it is ----
 
-    def _arrived(self, inner, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags,
-                 connection):
+    def _arrived(
+        self,
+        inner,
+        id,
+        group,
+        customer,
+        session,
+        deadline,
+        hint,
+        prefix,
+        prompt,
+        shared,
+        max_out,
+        flags,
+        connection,
+    ):
         refused = self.admission.arrived(self.now, id, group, connection, deadline)
         if refused:
             self.out.push_back(id, refused[1], refused[0])
             return False
         self.whole[id] = group, deadline
-        self.talks.begun(self.now, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags)
+        self.talks.begun(
+            self.now, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags
+        )
         if self.gate is not None and self.gate.closed(self._unread() + len(inner)):
             g = self.groups.get(group, {})
             # answered in time also where its deadline comes first
-            until = min(self.now + int(g.get("target", 0) * self.gate.PART), deadline - 2 * self.settings["round"] - 2000)
+            until = min(
+                self.now + int(g.get("target", 0) * self.gate.PART),
+                deadline - 2 * self.settings["round"] - 2000,
+            )
             self.gate.put(id, customer, prompt + max_out / 4, g.get("importance", 1), until)
         else:
             inner.append(("arrived", self._told(self.talks.talks[id], id)))
@@ -193,8 +231,19 @@
     def _told(self, talk, leg):
         """What the module is told of a leg: its deadline is that of the first token."""
         first = self.now + self.groups[talk.group]["first_token_within"]
-        return (leg, talk.group, talk.customer, talk.session, min(talk.deadline, first), talk.hint, talk.prefix,
-                talk.prompt, talk.shared, talk.max_out, talk.flags)
+        return (
+            leg,
+            talk.group,
+            talk.customer,
+            talk.session,
+            min(talk.deadline, first),
+            talk.hint,
+            talk.prefix,
+            talk.prompt,
+            talk.shared,
+            talk.max_out,
+            talk.flags,
+        )
 
     def _first_token(self, inner, id, n, engine, elapsed):
         talk = self.talks.talks.get(req_of(id))
@@ -303,14 +352,18 @@
     def _tool(self, inner, id, call, prompt, left):
         talk = self.talks.talks.get(id)
         if talk:
-            talk.prompt, talk.max_out = (prompt, left) if self.talks.ready(talk) or prompt else (talk.prompt, talk.max_out)
+            talk.prompt, talk.max_out = (
+                (prompt, left) if self.talks.ready(talk) or prompt else (talk.prompt, talk.max_out)
+            )
             if self.talks.answered(self.now, talk, call):
                 self._go_on(talk)
         return False
 
     def _stop(self, inner):
         self.admission.stopping = True
-        self.stop_by = self.now + self.settings["stop_within"] * 4 // 5  # the rest is for the answers to get out
+        self.stop_by = (
+            self.now + self.settings["stop_within"] * 4 // 5
+        )  # the rest is for the answers to get out
         return False
 
     def _look(self, inner):
@@ -356,7 +409,11 @@
         self.front.now = self.now
         suspected = engine is not None and self.front.strain(engine) >= 3
         self.front.same.clear()
-        how, holder, before = self.talks.where(talk, engine, suspected), talk.holder, leg_id(talk.id, talk.leg)
+        how, holder, before = (
+            self.talks.where(talk, engine, suspected),
+            talk.holder,
+            leg_id(talk.id, talk.leg),
+        )
         if holder and how == "anew":
             self.out.let_go(before)
         self.out.next_leg(talk.id, False)
@@ -426,7 +483,9 @@
 
     def _set_wake(self):
         gate = self.gate.next_due() if self.gate is not None else None
-        times = [time for time in (self.stop_by, self.stream_due, self.talks.soonest, gate) if time is not None]
+        times = [
+            time for time in (self.stop_by, self.stream_due, self.talks.soonest, gate) if time is not None
+        ]
         if not times:
             return
         due = max(min(times), self.now + 1)
--- a/martenrouter/decisions/connections.py
+++ b/martenrouter/decisions/connections.py
@@ -7,9 +7,12 @@
 Something between here and the engines may also drop kept ones long before: what was kept then breaks at its next use, at all
 engines alike. Where more than a quarter of those used lately did, none is used until that has faded; a new one costs a handshake.
 """
+
 from martenrouter.rules import Sum
 
-RESTS = 50_000  # microseconds: the platform's engines may send a second answer some milliseconds behind the first
+RESTS = (
+    50_000  # microseconds: the platform's engines may send a second answer some milliseconds behind the first
+)
 
 
 class Connections:
@@ -30,7 +33,9 @@
         self.broke.add(now, broke)
 
     def trusted(self, now):
-        return self.broke.read(now) <= (self.used.read(now) + 4) / 4  # four that held: one that broke says little
+        return (
+            self.broke.read(now) <= (self.used.read(now) + 4) / 4
+        )  # four that held: one that broke says little
 
     def take(self, now, engine):
         """(connection or None, those to be closed)."""
--- a/martenrouter/decisions/conversations.py
+++ b/martenrouter/decisions/conversations.py
@@ -28,9 +28,30 @@
 
 
 class Talk:
-    __slots__ = ("id", "group", "customer", "session", "deadline", "hint", "prefix", "prompt", "shared", "max_out", "flags",
-                 "leg", "steps", "rewrites", "state", "calls", "holder", "holder_born", "hold_until", "flowed", "effects",
-                 "rank")
+    __slots__ = (
+        "id",
+        "group",
+        "customer",
+        "session",
+        "deadline",
+        "hint",
+        "prefix",
+        "prompt",
+        "shared",
+        "max_out",
+        "flags",
+        "leg",
+        "steps",
+        "rewrites",
+        "state",
+        "calls",
+        "holder",
+        "holder_born",
+        "hold_until",
+        "flowed",
+        "effects",
+        "rank",
+    )
 
 
 class Call:
@@ -41,25 +62,33 @@
 
 
 class Conversations:
-    REWRITES = 2         # a third break in one answer is no chance: the fleet is failing, and each costs a read
+    REWRITES = 2  # a third break in one answer is no chance: the fleet is failing, and each costs a read
     PART_FOR_CALLS = 0.75  # of the time left: the rest is for reading the result and writing on
-    ROOM = 0.125         # of a writer's memory; with less free, a pause would push running answers out
+    ROOM = 0.125  # of a writer's memory; with less free, a pause would push running answers out
 
     def __init__(self, settings):
         self.settings, self.groups = settings, settings["groups"]
         self.hold_for = settings["release_within"] - 2 * settings["round"] - settings["release_within"] // 10
         self.talks = {}
-        self.queue = []      # (rank, id, call): calls that wait for a place
+        self.queue = []  # (rank, id, call): calls that wait for a place
         self.out_now, self.out_by_customer = 0, {}
         self.soonest = None  # when a pause is next to be looked at; never later than the truth
         self._adopted = []
-        self.took = {}       # tool -> usual time to its answer
+        self.took = {}  # tool -> usual time to its answer
 
     # ---- life of a conversation ----
 
-    def begun(self, now, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags):
+    def begun(
+        self, now, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags
+    ):
         talk = self.talks[id] = Talk()
-        talk.id, talk.group, talk.customer, talk.session, talk.deadline = id, group, customer, session, deadline
+        talk.id, talk.group, talk.customer, talk.session, talk.deadline = (
+            id,
+            group,
+            customer,
+            session,
+            deadline,
+        )
         talk.hint, talk.prefix, talk.prompt, talk.shared = hint, prefix, prompt, shared
         talk.max_out, talk.flags = max_out, flags
         talk.leg = talk.steps = talk.rewrites = talk.flowed = talk.hold_until = 0
@@ -129,7 +158,8 @@
                 continue
             of_customer = self.out_by_customer.get(talk.customer, 0)
             if self.out_now >= self.settings["pauses"] or (
-                    talk.customer is not None and of_customer >= self.settings["pauses_a_customer"]):
+                talk.customer is not None and of_customer >= self.settings["pauses_a_customer"]
+            ):
                 waiting.append((rank, id, name))
                 continue
             self.out_now += 1
@@ -151,7 +181,9 @@
             self._back(talk)
             took = now - call.sent
             usual = self.took.pop(call.name, took)
-            self.took[call.name] = usual + (took - usual) // 4  # some four answers back: tools change with their load
+            self.took[call.name] = (
+                usual + (took - usual) // 4
+            )  # some four answers back: tools change with their load
             if len(self.took) > 1000:
                 del self.took[next(iter(self.took))]
         call.state = ANSWERED
@@ -180,7 +212,9 @@
                 continue
             if talk.holder and now >= talk.hold_until:
                 holds.append(talk)
-            calls += [(talk, name) for name, call in talk.calls.items() if call.state == OUT and now >= call.due]
+            calls += [
+                (talk, name) for name, call in talk.calls.items() if call.state == OUT and now >= call.due
+            ]
         return holds, calls, over
 
     def next_due(self):
@@ -206,7 +240,9 @@
                 self.out_now += 1
                 self.out_by_customer[talk.customer] = self.out_by_customer.get(talk.customer, 0) + 1
                 left = max(talk.deadline - now, 0)
-                call.due = now + int(min(max(self.settings["tool_call_within"] - ago, 0), left * self.PART_FOR_CALLS))
+                call.due = now + int(
+                    min(max(self.settings["tool_call_within"] - ago, 0), left * self.PART_FOR_CALLS)
+                )
                 self._note(call.due)
 
     def adopt_pause(self, now, talk, holder, born, since):
@@ -232,7 +268,9 @@
         if talk.holder is None or engine is None or engine.born != talk.holder_born:
             return "anew"  # let go, gone, or another process under the old id: nothing of it holds
         if not engine.up or suspected or engine.born:
-            return "near"  # drains: nothing new goes there; slow or still cold: its state may still be fetched
+            return (
+                "near"  # drains: nothing new goes there; slow or still cold: its state may still be fetched
+            )
         return "here"
 
     def next_leg(self, talk):
--- a/martenrouter/decisions/heavy.py
+++ b/martenrouter/decisions/heavy.py
@@ -41,5 +41,11 @@
     def top(self, count):
         """[(name, part of all at most, part of all at least)], the heaviest first."""
         ranked = sorted(self.counts, key=lambda name: (-self.counts[name], str(name)))[:count]
-        return [(name, self.counts[name] / self.total, (self.counts[name] - self.over[name]) / self.total) for name in ranked
-                ] if self.total else []
+        return (
+            [
+                (name, self.counts[name] / self.total, (self.counts[name] - self.over[name]) / self.total)
+                for name in ranked
+            ]
+            if self.total
+            else []
+        )
--- a/martenrouter/decisions/learnt.py
+++ b/martenrouter/decisions/learnt.py
@@ -4,10 +4,24 @@
 Taken out of one instance of the module and put into another, with the time it lay around: sums halve by themselves since
 they carry the time they were brought up to date; what was kept is only probably kept still.
 """
+
 from martenrouter.rules import Engine, Pace, Sum
 
-ENGINE_SUMS, ENGINE_VALUES = ("late", "tries"), ("failed", "felt", "felt_at", "answered", "tested", "served_to", "born",
-                                                 "load", "load_at", "streams_then")
+ENGINE_SUMS, ENGINE_VALUES = (
+    ("late", "tries"),
+    (
+        "failed",
+        "felt",
+        "felt_at",
+        "answered",
+        "tested",
+        "served_to",
+        "born",
+        "load",
+        "load_at",
+        "streams_then",
+    ),
+)
 STALE = 60_000_000  # microseconds: kept text and reports older than a minute say nothing of a busy engine
 BORN_SLACK = 1_000_000  # a start told in wall time is converted anew by each front process; no engine starts in a second
 VERSION = 1
@@ -26,39 +40,63 @@
 def export(front, now):
     """Plain lists, numbers and text; times in the front's own clock."""
     return {
-        "version": VERSION, "at": now,
-        "engines": [[e.id, [_sum(getattr(e, name)) for name in ENGINE_SUMS], [getattr(e, name) for name in ENGINE_VALUES],
-                     list(e.kept.items())] for e in front.engines.values()],
-        "links": [[list(key), [_sum(getattr(e, name)) for name in ENGINE_SUMS], [getattr(e, name) for name in ENGINE_VALUES]]
-                  for key, e in front.links.items()],
+        "version": VERSION,
+        "at": now,
+        "engines": [
+            [
+                e.id,
+                [_sum(getattr(e, name)) for name in ENGINE_SUMS],
+                [getattr(e, name) for name in ENGINE_VALUES],
+                list(e.kept.items()),
+            ]
+            for e in front.engines.values()
+        ],
+        "links": [
+            [
+                list(key),
+                [_sum(getattr(e, name)) for name in ENGINE_SUMS],
+                [getattr(e, name) for name in ENGINE_VALUES],
+            ]
+            for key, e in front.links.items()
+        ],
         "paces": [[name, _sum(pace.spent), _sum(pace.work)] for name, pace in front.pace.items()],
-        "drained": _sum(front.drained), "asked_for": _sum(front.asked_for),
+        "drained": _sum(front.drained),
+        "asked_for": _sum(front.asked_for),
         "told": [[key, _sum(total), _sum(count)] for key, (total, count) in front.told.items()],
         "prefixes": [[key, _sum(value)] for key, value in front.prefixes.items()],
         "mean_work": [[key, _sum(total), _sum(count)] for key, (total, count) in front.mean_work.items()],
         "carried": [[key, _sum(value)] for key, value in front.carried.items()],
-        "buckets": [[key, *value] for key, value in front.buckets.items()], "draws": front.draws,
+        "buckets": [[key, *value] for key, value in front.buckets.items()],
+        "draws": front.draws,
     }
 
 
 def shifted(told, by):
     """The same with all its times moved: the clock of a machine that was started again begins anew."""
+
     def sums(value):
         return [value[0], value[1], value[2] + by, None if value[3] is None else value[3] + by]
 
     def engine(sum_list, values):
         times = ("felt_at", "answered", "tested", "served_to", "load_at")
         return [sums(one) for one in sum_list], [
-            value + by if name in times and value else value for name, value in zip(ENGINE_VALUES, values)]
+            value + by if name in times and value else value for name, value in zip(ENGINE_VALUES, values)
+        ]
+
     return {
-        **told, "at": told["at"] + by,
+        **told,
+        "at": told["at"] + by,
         "engines": [[id, *engine(sum_list, values), kept] for id, sum_list, values, kept in told["engines"]],
         "links": [[key, *engine(sum_list, values)] for key, sum_list, values in told["links"]],
         "paces": [[name, sums(spent), sums(work)] for name, spent, work in told["paces"]],
-        "drained": sums(told["drained"]), "asked_for": sums(told["asked_for"]),
+        "drained": sums(told["drained"]),
+        "asked_for": sums(told["asked_for"]),
         "buckets": [[key, level, at + by] for key, level, at in told["buckets"]],
-        **{name: [[key, *map(sums, values)] for key, *values in told[name]]
-           for name in ("told", "prefixes", "mean_work", "carried")}}
+        **{
+            name: [[key, *map(sums, values)] for key, *values in told[name]]
+            for name in ("told", "prefixes", "mean_work", "carried")
+        },
+    }
 
 
 def put(front, told, now):
@@ -92,5 +130,7 @@
     for name, value in zip(ENGINE_SUMS, sums):
         setattr(engine, name, _back(value))
     for name, value in zip(ENGINE_VALUES, values):
-        if name not in ("born", "streams_then") and not (old and name in ("load", "load_at", "felt", "felt_at")):
+        if name not in ("born", "streams_then") and not (
+            old and name in ("load", "load_at", "felt", "felt_at")
+        ):
             setattr(engine, name, value)
--- a/martenrouter/decisions/lengths.py
+++ b/martenrouter/decisions/lengths.py
@@ -3,7 +3,7 @@
 
 
 class Lengths:
-    START = 4.0        # bytes a token, about what common vocabularies give for running text
+    START = 4.0  # bytes a token, about what common vocabularies give for running text
     LEAST, MOST = 0.5, 32.0  # outside this a count is an engine's mistake, not a language
 
     def __init__(self):
--- a/martenrouter/decisions/membership.py
+++ b/martenrouter/decisions/membership.py
@@ -18,21 +18,21 @@
 
 
 class Membership:
-    SILENT = 5_000_000     # the service says "same" each second: five missed are no chance
-    FIRST_WAIT = 100_000   # a break is mostly a restart of the service
+    SILENT = 5_000_000  # the service says "same" each second: five missed are no chance
+    FIRST_WAIT = 100_000  # a break is mostly a restart of the service
     LONGEST_WAIT = 5_000_000  # drains are told seconds late already; a longer wait would add to that
 
     def __init__(self, random):
         """`random`: gives numbers in 0..1; spreads the fronts' reconnects."""
         self.random = random
         self.epoch = self.version = -1
-        self.entries = {}        # id -> entry (id, phase, kind, zone, cell, address, start, weight)
-        self.births = {}         # (id, start) -> the front's own time of it
+        self.entries = {}  # id -> entry (id, phase, kind, zone, cell, address, start, weight)
+        self.births = {}  # (id, start) -> the front's own time of it
         self.connected = False
-        self.heard = None        # when the service last said anything
+        self.heard = None  # when the service last said anything
         self.wait = 0
-        self.asking = False      # a full list is on its way
-        self.ignored = 0         # messages that were older than what is held
+        self.asking = False  # a full list is on its way
+        self.ignored = 0  # messages that were older than what is held
 
     # ---- what comes in ----
 
@@ -118,8 +118,18 @@
                 self.entries[entry.id] = entry
             changed[entry.id] = None if entry.phase == GONE else entry.address
         self.epoch, self.version = message.epoch, message.version
-        rows = [(entry.phase, entry.weight, entry.zone, entry.id, entry.cell, entry.kind,
-                 self._born(now, wall, entry)) for entry in message.entries]
+        rows = [
+            (
+                entry.phase,
+                entry.weight,
+                entry.zone,
+                entry.id,
+                entry.cell,
+                entry.kind,
+                self._born(now, wall, entry),
+            )
+            for entry in message.entries
+        ]
         out.addresses(changed)
         out.listed(self.version, scope, rows)
         if scope != "first":
--- a/martenrouter/decisions/parts.py
+++ b/martenrouter/decisions/parts.py
@@ -20,7 +20,7 @@
 
 class Following:
     SPAN = 1.25
-    STEP = 1.02       # a change a look: some ten looks from one end to the other
+    STEP = 1.02  # a change a look: some ten looks from one end to the other
     FULL, SPARE = 0.9, 0.5
 
     def __init__(self, fronts):
@@ -46,8 +46,9 @@
 
 class Leased:
     """Parts that an operator's file hands out for a time: {"until": wall, "parts": {"customer": {front: part}}}."""
+
     GUARD = 1_000_000  # microseconds: a lease ends this much before its time, so that clocks that differ by less don't overlap
-    LEAST = 0.5        # of 1/N, without a lease: a file that grants all of a cap leaves this out (see check)
+    LEAST = 0.5  # of 1/N, without a lease: a file that grants all of a cap leaves this out (see check)
 
     def __init__(self, name, fronts):
         self.name, self.even = name, fixed(fronts)
@@ -73,5 +74,8 @@
             least = cls.LEAST * fixed(fronts)
             total = sum(max(part, least) for part in of.values()) + max(fronts - len(of), 0) * least
             if total > 1 + 1e-9:
-                return "parts.%s: %g of the cap are handed out, with what fronts without a lease may use" % (customer, round(total, 4))
+                return "parts.%s: %g of the cap are handed out, with what fronts without a lease may use" % (
+                    customer,
+                    round(total, 4),
+                )
         return None
--- a/martenrouter/decisions/periods.py
+++ b/martenrouter/decisions/periods.py
@@ -6,6 +6,7 @@
 Wall clocks are set back. A period that was begun is not begun again: time that goes back over a period's end counts to the period that
 is on, so that nothing is granted twice.
 """
+
 HOUR, DAY = 3_600_000_000, 86_400_000_000
 CALENDAR = ("hour", "day", "month")
 SLOTS = 60  # of a rolling window: what it holds is too high by a sixtieth at the most
--- a/martenrouter/decisions/reducing.py
+++ b/martenrouter/decisions/reducing.py
@@ -15,12 +15,22 @@
             return []  # none of them is needed
     while len(parts) >= 1 and asked < budget:
         size = max(len(parts) // count, 1)
-        chunks = [parts[i:i + size] for i in range(0, len(parts), size)]
+        chunks = [parts[i : i + size] for i in range(0, len(parts), size)]
         for kind in ("only", "without"):
             found = None
             for i, chunk in enumerate(chunks):
-                rest = chunk if kind == "only" else [one for j, other in enumerate(chunks) if j != i for one in other]
-                if len(rest) == len(parts) or kind == "only" and len(chunks) == 2 and i > 1 or asked >= budget:
+                rest = (
+                    chunk
+                    if kind == "only"
+                    else [one for j, other in enumerate(chunks) if j != i for one in other]
+                )
+                if (
+                    len(rest) == len(parts)
+                    or kind == "only"
+                    and len(chunks) == 2
+                    and i > 1
+                    or asked >= budget
+                ):
                     continue
                 asked += 1
                 if (yield rest):
--- a/martenrouter/decisions/resampling.py
+++ b/martenrouter/decisions/resampling.py
@@ -4,8 +4,9 @@
 drawn with replacement; the interval is the middle part of what such draws give. With under five pairs no interval is honest, and
 none is given.
 """
+
 LEAST_PAIRS = 5
-DRAWS = 2000   # the ends of a 95% interval then rest on some fifty draws each
+DRAWS = 2000  # the ends of a 95% interval then rest on some fifty draws each
 PART = 0.95
 
 
--- a/martenrouter/decisions/sharing.py
+++ b/martenrouter/decisions/sharing.py
@@ -6,6 +6,7 @@
 left nor pays for what others had. Importance goes first between reqs of different importance, within a bound: after `BOUND` reqs of higher
 importance in a row one of lower importance is taken.
 """
+
 import heapq
 
 
@@ -15,7 +16,12 @@
     def __init__(self, share_of):
         """`share_of(customer)`: over 0."""
         self.share_of, self.virtual, self.finish = share_of, {}, {}
-        self.waiting, self.gone, self.row, self.count = {}, set(), 0, 0  # importance -> heap of (start, count, id, customer, cost)
+        self.waiting, self.gone, self.row, self.count = (
+            {},
+            set(),
+            0,
+            0,
+        )  # importance -> heap of (start, count, id, customer, cost)
 
     def __len__(self):
         return sum(map(len, self.waiting.values())) - len(self.gone)
--- a/martenrouter/decisions/streams.py
+++ b/martenrouter/decisions/streams.py
@@ -61,8 +61,13 @@
     def next_due(self, now):
         """When a stream has to be looked at next, None without streams."""
         patience = self.patience()
-        return min((min(stream[1] - 2 * self.round - 2000, stream[4] + patience + 1)
-                    for stream in self.open.values()), default=None)
+        return min(
+            (
+                min(stream[1] - 2 * self.round - 2000, stream[4] + patience + 1)
+                for stream in self.open.values()
+            ),
+            default=None,
+        )
 
     def _answer(self, stream, reason):
         group = self.groups.get(stream[0]) or {}
--- a/martenrouter/decisions/takeover.py
+++ b/martenrouter/decisions/takeover.py
@@ -7,9 +7,11 @@
 
 
 class Takeover:
-    SILENT = 80_000        # microseconds: the aim is to take over under 100 ms; a round takes some hundred microseconds
-    BEAT = 20_000          # an idle planner is asked this often: its death is seen a bound and a beat later at most
-    AT_ONCE = 100          # begun answers told a round to a new decider: some 4 ms of work, a twentieth of the bound
+    SILENT = (
+        80_000  # microseconds: the aim is to take over under 100 ms; a round takes some hundred microseconds
+    )
+    BEAT = 20_000  # an idle planner is asked this often: its death is seen a bound and a beat later at most
+    AT_ONCE = 100  # begun answers told a round to a new decider: some 4 ms of work, a twentieth of the bound
     FIRST_WAIT, LONGEST_WAIT = 250_000, 30_000_000
     FORGIVEN = 20_000_000  # in charge this long without a fault, earlier ones are forgotten
 
@@ -56,9 +58,10 @@
 
 class Restarts:
     """When a supervisor starts a program again that ended: soon at first, ever later in a loop of crashes."""
+
     FIRST, LONGEST = 100_000, 10_000_000
-    WELL = 30_000_000      # it ran this long: its end is a new matter
-    LOOP = 5               # so many ends in a row are a loop, and are said to be one
+    WELL = 30_000_000  # it ran this long: its end is a new matter
+    LOOP = 5  # so many ends in a row are a loop, and are said to be one
 
     def __init__(self):
         self.ends = 0
--- a/martenrouter/drill/__main__.py
+++ b/martenrouter/drill/__main__.py
@@ -1,4 +1,5 @@
 """python -m martenrouter.drill: hosts instances of the decision module on the simulator's wire."""
+
 import sys
 import traceback
 
@@ -28,7 +29,7 @@
                 if name == "up":
                     if not values:
                         raise codec.BadLine("up has no seed")
-                    seed, = codec.values(name, (int,), values[:1])
+                    (seed,) = codec.values(name, (int,), values[:1])
                     self.fronts[front] = Front(seed, codec.settings(part for part in values[1:] if part))
                     inbox[front] = []
                     continue
@@ -39,7 +40,8 @@
                     inbox.pop(front, None)
                 elif name == "directory_update":
                     version, scope, count = codec.values(
-                        name, (codec._opt_whole, lambda text: codec.SCOPES[text], int), values)
+                        name, (codec._opt_whole, lambda text: codec.SCOPES[text], int), values
+                    )
                     rows = []
                     for _ in range(count):
                         number, row = next(at, (number, ""))
@@ -73,9 +75,11 @@
                 if not text:
                     continue
                 if parts[0] != "turn":
-                    raise codec.BadLine("line %d: a round starts with 'turn', not: %s" % (number, parts[0][:60]))
+                    raise codec.BadLine(
+                        "line %d: a round starts with 'turn', not: %s" % (number, parts[0][:60])
+                    )
                 try:
-                    now, = codec.values("turn", (int,), parts[1:])
+                    (now,) = codec.values("turn", (int,), parts[1:])
                 except codec.BadLine as why:
                     raise codec.BadLine("line %d: %s" % (number, why))
             elif text == "eob":
--- a/martenrouter/drill/codec.py
+++ b/martenrouter/drill/codec.py
@@ -1,4 +1,5 @@
 """The simulator's text wire: lines in, calls of the decision module out, and back. Renames, decides nothing."""
+
 from martenrouter.settings import told
 from martenrouter.settings.told import number
 
@@ -35,8 +36,16 @@
     return text == "1"
 
 
-LOADS = {"outstanding": "reqs_held", "backlog": "reqs_queued", "utilization": "share_busy", "recent_ms": "recent_ms",
-         "throughput": "done_per_s", "errors_per_s": "errors_per_s", "x0": "memory_share", "x1": "tokens_waiting"}
+LOADS = {
+    "outstanding": "reqs_held",
+    "backlog": "reqs_queued",
+    "utilization": "share_busy",
+    "recent_ms": "recent_ms",
+    "throughput": "done_per_s",
+    "errors_per_s": "errors_per_s",
+    "x0": "memory_share",
+    "x1": "tokens_waiting",
+}
 
 
 def _load(text):
@@ -49,8 +58,17 @@
     return load
 
 
-ENDINGS = {"S": "done", "E": "error", "F": "full", "T": "timed out", "C": "unreachable", "R": "reset",
-           "X": "cancelled", "N": "not sent", "half_done": "read"}
+ENDINGS = {
+    "S": "done",
+    "E": "error",
+    "F": "full",
+    "T": "timed out",
+    "C": "unreachable",
+    "R": "reset",
+    "X": "cancelled",
+    "N": "not sent",
+    "half_done": "read",
+}
 PHASES = {"healthy": "up", "cordoned": "draining", "deregistered": "gone"}
 SCOPES = {"D": "changes", "F": "whole", "C": "first", "X": "failed"}
 
@@ -61,8 +79,22 @@
 
 # wire message -> (call of the module, decoders of its values)
 EVENTS = {
-    "request": ("arrived", (_whole, _word, _opt_word, _opt_word, _whole, _opt_whole, _opt_word, _opt_number,
-                            _opt_number, _opt_number, _opt_whole)),
+    "request": (
+        "arrived",
+        (
+            _whole,
+            _word,
+            _opt_word,
+            _opt_word,
+            _whole,
+            _opt_whole,
+            _opt_word,
+            _opt_number,
+            _opt_number,
+            _opt_number,
+            _opt_whole,
+        ),
+    ),
     "head_received": ("first_token", (_whole, _whole, _word, _whole)),
     "booking": ("place", (_whole, _whole, _word, _whole, _opt_number)),
     "response": ("outcome", (_whole, _whole, _ending, _word, _opt_whole, _flag, _opt_whole, _load)),
--- a/martenrouter/edge/books.py
+++ b/martenrouter/edge/books.py
@@ -3,6 +3,7 @@
 What was spent is a fact, so the books are the edge's, whoever decides placement. The choices are decisions/budgets.py and
 decisions/booking.py; this plays them: a thread writes to the ledger in groups, greenlets wait for their group.
 """
+
 import os
 
 import gevent
@@ -17,17 +18,18 @@
 from martenrouter.edge import clock
 from martenrouter.state.ledger import Ledger, Unusable
 
-GROUP = 2_000        # microseconds that a group waits for others: under the scatter of a final answer
-AGAIN = 200_000      # between tries while the disk is full
+GROUP = 2_000  # microseconds that a group waits for others: under the scatter of a final answer
+AGAIN = 200_000  # between tries while the disk is full
 COUNTERS_EACH = 30_000_000
 LOOK_EACH = 1_000_000
-SPARE = 60_000_000   # a reservation lives this much longer than its req's deadline
+SPARE = 60_000_000  # a reservation lives this much longer than its req's deadline
 EXPORTED_KEPT = 100_000  # entries that stay after they were exported, for corrections and questions
-MARGIN = 100_000     # a final answer that can't be booked by then is an abort, before the deadline
+MARGIN = 100_000  # a final answer that can't be booked by then is an abort, before the deadline
 
 
 class Leases(msgspec.Struct, forbid_unknown_fields=True):
     """The file that hands out parts: until when (wall time in milliseconds), and customer -> front -> part of its limits."""
+
     until_ms: int
     parts: dict[str, dict[str, float]]
 
@@ -48,7 +50,7 @@
         self.heavy = Heavy(256, 600_000_000)  # over ten minutes: who it is that fills the fleet just now
         self.failing = self.writing = False
         self.greenlets = []
-        self.expected = {}         # endpoint group -> answer tokens usually written, in 1/256ths
+        self.expected = {}  # endpoint group -> answer tokens usually written, in 1/256ths
         self._turn(wall)
         if self.ledger is not None:
             self._start(now, wall)
@@ -65,7 +67,13 @@
             told = self.told.groups.get(key[2])
         elif kind == "session":
             told = self.told.each_session
-        return None if told is None else Limits(told.cap, told.period, told.rate_per_s, told.burst, told.open, told.share, told.on_cap)
+        return (
+            None
+            if told is None
+            else Limits(
+                told.cap, told.period, told.rate_per_s, told.burst, told.open, told.share, told.on_cap
+            )
+        )
 
     def _part(self, key):
         if self.way is None:
@@ -89,20 +97,41 @@
         for entry in self.ledger.entries(at + 1):
             # a period that has not been is not begun by an entry of the future: the wall clock had been ahead
             if booking.counts(entry):
-                self.budgets.correct(entry["wall"], self.budgets.path(entry["customer"], entry["group"], entry["session"]),
-                                     entry["units"], now)
+                self.budgets.correct(
+                    entry["wall"],
+                    self.budgets.path(entry["customer"], entry["group"], entry["session"]),
+                    entry["units"],
+                    now,
+                )
             self.period_end = max(self.period_end, calendar("day", entry["wall"])[2])
             if entry["period"] and entry["period"] > self.period:
                 self.period = entry["period"]
             count += 1
-        left = self.ledger.resolve(lambda identity, fields: booking.resolved(
-            identity, self.period, wall, fields.get("customer"), fields.get("group"), fields.get("session")))
-        self.log.info("ledger_opened", entries=self.ledger.last, counters_at=at, entries_after=count, left_by_a_crash=len(left))
+        left = self.ledger.resolve(
+            lambda identity, fields: booking.resolved(
+                identity,
+                self.period,
+                wall,
+                fields.get("customer"),
+                fields.get("group"),
+                fields.get("session"),
+            )
+        )
+        self.log.info(
+            "ledger_opened",
+            entries=self.ledger.last,
+            counters_at=at,
+            entries_after=count,
+            left_by_a_crash=len(left),
+        )
 
     def changed(self, told):
         """New limits from a settings file, under load: what is spent, reserved and open stays. Ledger, prices and the way to parts are
         those of the start."""
-        kept = {name: getattr(self.told, name) for name in ("ledger", "read_price", "write_price", "parts", "leases")}
+        kept = {
+            name: getattr(self.told, name)
+            for name in ("ledger", "read_price", "write_price", "parts", "leases")
+        }
         self.told = msgspec.structs.replace(told, **kept)
         self.budgets.changed(clock.now(), clock.wall())
         self.log.info("budgets_changed", customers=len(told.customers))
@@ -120,19 +149,33 @@
             if wrong:
                 raise ValueError(wrong)
         except (OSError, msgspec.MsgspecError, ValueError) as why:
-            self.log.warning("leases_unusable", path=self.told.leases, why=str(why), mend="the lease held runs on to its end")
+            self.log.warning(
+                "leases_unusable",
+                path=self.told.leases,
+                why=str(why),
+                mend="the lease held runs on to its end",
+            )
             return
-        self.way.put(found.until_ms * 1000, {customer: of[self.name] for customer, of in found.parts.items() if self.name in of})
+        self.way.put(
+            found.until_ms * 1000,
+            {customer: of[self.name] for customer, of in found.parts.items() if self.name in of},
+        )
 
     def start(self):
-        self.greenlets = [gevent.spawn(self._look)] + ([gevent.spawn(self._write)] if self.ledger is not None else [])
+        self.greenlets = [gevent.spawn(self._look)] + (
+            [gevent.spawn(self._write)] if self.ledger is not None else []
+        )
 
     def stop(self):
         """What is still to be written is, then the counters; the ledger is closed."""
         if self.ledger is None:
             return gevent.killall(self.greenlets, block=False)
         until = clock.now() + 2_000_000
-        while (self.queue or self.opened or self.ended or self.writing) and clock.now() < until and not self.failing:
+        while (
+            (self.queue or self.opened or self.ended or self.writing)
+            and clock.now() < until
+            and not self.failing
+        ):
             self.came.set()
             gevent.sleep(0.005)
         gevent.killall(self.greenlets)
@@ -156,7 +199,9 @@
         now, wall = clock.now(), clock.wall()
         path = self.budgets.path(r.customer, r.group.name, r.session)
         expected = min(self.expected.get(r.group.name, r.max_tokens * 64) // 256 + 1, r.max_tokens)
-        refused = self.budgets.reserve(now, wall, r.id, path, prompt, expected, max(r.deadline - now, 0) + SPARE)
+        refused = self.budgets.reserve(
+            now, wall, r.id, path, prompt, expected, max(r.deadline - now, 0) + SPARE
+        )
         if refused is not None:
             self.counters["budget_refused: " + refused.limit] += 1
             return "budget: %s of %s" % (refused.limit, " ".join(map(str, refused.key))), refused.after or 0
@@ -165,7 +210,9 @@
     def opened_(self, r, identity):
         """Told once the req is known: what a crash leaves of it can be resolved."""
         if self.ledger is not None:
-            self.opened.append((identity, {"customer": r.customer, "group": r.group.name, "session": r.session}))
+            self.opened.append(
+                (identity, {"customer": r.customer, "group": r.group.name, "session": r.session})
+            )
 
     def wrote(self, r):
         """Tokens came. False: the answer ends here, its budget is spent."""
@@ -188,13 +235,31 @@
         old = self.expected.get(r.group.name, written * 256)
         self.expected[r.group.name] = old + (written * 256 - old) // 16
         if r.usage[0] > prompt or r.usage[1] > written:
-            self.budgets.waste("read or written anew", max(r.usage[0] - prompt, 0), max(r.usage[1] - written, 0))
+            self.budgets.waste(
+                "read or written anew", max(r.usage[0] - prompt, 0), max(r.usage[1] - written, 0)
+            )
         if units and r.customer is not None:
             self.heavy.add(now, r.customer, units)
         if self.ledger is None or units is None:
             return then(True)
-        self.queue.append((booking.charge(identity, self.period, wall, r.customer, r.group.name, r.session, prompt, written, units,
-                                          r.trace), then, r.deadline - MARGIN))
+        self.queue.append(
+            (
+                booking.charge(
+                    identity,
+                    self.period,
+                    wall,
+                    r.customer,
+                    r.group.name,
+                    r.session,
+                    prompt,
+                    written,
+                    units,
+                    r.trace,
+                ),
+                then,
+                r.deadline - MARGIN,
+            )
+        )
         self.came.set()
 
     def dropped(self, r, identity, prompt):
@@ -222,12 +287,17 @@
             known = set(done)
             self.writing = True
             # one that was opened and has ended within the group was never open on disk
-            why = pool.apply(self._append, ([entry for entry, _, _ in group], [one for one in opened if one[0] not in known], done))
+            why = pool.apply(
+                self._append,
+                ([entry for entry, _, _ in group], [one for one in opened if one[0] not in known], done),
+            )
             self.writing = False
             if why is not None:
                 if not self.failing:
                     self.failing = True
-                    self.log.error("ledger_failing", why=str(why), mend="reqs are pushed back until it can be written")
+                    self.log.error(
+                        "ledger_failing", why=str(why), mend="reqs are pushed back until it can be written"
+                    )
                 self._late(group)
                 self.opened, self.ended = opened + self.opened, ended + self.ended
                 gevent.sleep(AGAIN / 1e6)
@@ -247,8 +317,12 @@
             if now + AGAIN < until:
                 self.queue.append((entry, then, until))
             else:
-                self.budgets.correct(entry["wall"], self.budgets.path(entry["customer"], entry["group"], entry["session"]),
-                                     -entry["units"], now)
+                self.budgets.correct(
+                    entry["wall"],
+                    self.budgets.path(entry["customer"], entry["group"], entry["session"]),
+                    -entry["units"],
+                    now,
+                )
                 self.ended.append(entry["id"])
                 self.counters["not_booked"] += 1
                 then(False)
@@ -259,7 +333,12 @@
             gevent.sleep(LOOK_EACH / 1e6)
             now = clock.now()
             self.look(now, clock.wall())
-            if self.ledger is not None and now - since > COUNTERS_EACH and not self.failing and not self.queue:
+            if (
+                self.ledger is not None
+                and now - since > COUNTERS_EACH
+                and not self.failing
+                and not self.queue
+            ):
                 since = now
                 self._keep()
 
@@ -274,7 +353,9 @@
             for key, node in self.budgets.nodes.items():
                 if node.period is not None and node.limits.period in ("hour", "day", "month"):
                     _, begin, end = calendar(node.limits.period, wall)
-                    self.way.look(key, node.period.read(wall), self.budgets.cap(node), (wall - begin) / (end - begin))
+                    self.way.look(
+                        key, node.period.read(wall), self.budgets.cap(node), (wall - begin) / (end - begin)
+                    )
 
     def _keep(self):
         """Counters as of the last entry, so that a start is quick; then old entries go, a slice at a time."""
@@ -294,5 +375,11 @@
             return why
 
     def status(self):
-        return {"heavy": [[name, round(most, 3)] for name, most, _ in self.heavy.top(10)], "house": dict(self.budgets.house), "refused": dict(self.budgets.refused), "open": len(self.budgets.open),
-                "entries": self.ledger.last if self.ledger is not None else None, "failing": self.failing}
+        return {
+            "heavy": [[name, round(most, 3)] for name, most, _ in self.heavy.top(10)],
+            "house": dict(self.budgets.house),
+            "refused": dict(self.budgets.refused),
+            "open": len(self.budgets.open),
+            "entries": self.ledger.last if self.ledger is not None else None,
+            "failing": self.failing,
+        }
--- a/martenrouter/edge/client.py
+++ b/martenrouter/edge/client.py
@@ -1,4 +1,5 @@
 """The client's side of the door: JSON-RPC 2.0 over WebSocket, many open calls on one connection."""
+
 import gevent
 import msgspec
 from gevent import socket
--- a/martenrouter/edge/clock.py
+++ b/martenrouter/edge/clock.py
@@ -1,4 +1,5 @@
 """The two clocks of a process, in whole microseconds."""
+
 import time
 
 
--- a/martenrouter/edge/desk.py
+++ b/martenrouter/edge/desk.py
@@ -3,6 +3,7 @@
 
 Rounds are those of edge/rounds.py. While a planner has a round, what comes in waits for the next one; when the planner is silent for too long, the edge rebuilds its own chain from its facts and goes on.
 """
+
 import traceback
 
 import gevent
@@ -14,8 +15,10 @@
 from martenrouter.edge.rounds import Rounds
 from martenrouter.wire.channel import Handover, Round
 
-DECISIONS = frozenset("forward push_back abort cancel let_go wake wake_chain subscribe end_stream call_tool fail_call "
-                      "next_leg".split())
+DECISIONS = frozenset(
+    "forward push_back abort cancel let_go wake wake_chain subscribe end_stream call_tool fail_call "
+    "next_leg".split()
+)
 CHAIN, BEAT = -1, -2  # marks of the chain's own wake-ups and of beats; the module's marks start at 1
 
 
@@ -25,12 +28,12 @@
         follows later of a req (edge/handover.py)."""
         super().__init__(round_us)
         self.make_chain, self.hands, self.facts, self.of_one = make_chain, hands, facts, of_one
-        self.later = []          # reqs that the decider has still to be told of
+        self.later = []  # reqs that the decider has still to be told of
         self.counters, self.log = counters, log
         self.chain = make_chain()
         self.takeover, self.link, self.waiting = Takeover(), None, None
         self.newcomer, self.learnt, self.seq = None, None, 0
-        self.flow = {}           # req -> tokens since the last round: told along, never a reason for a round
+        self.flow = {}  # req -> tokens since the last round: told along, never a reason for a round
         self.cost = HdrHistogram(1, 60_000_000, 3)  # microseconds a round
 
     def who(self):
@@ -50,7 +53,7 @@
             inbox.append(("flowed", (flow,)))
         if self.later:
             # last in the round: what came in before is part of these facts, what comes in after is news to the decider
-            some, self.later = self.later[:self.takeover.AT_ONCE], self.later[self.takeover.AT_ONCE:]
+            some, self.later = self.later[: self.takeover.AT_ONCE], self.later[self.takeover.AT_ONCE :]
             inbox += [("adopt", (id, self.of_one(id))) for id in some]
             self.wake(CHAIN, self.round)
         if self.takeover.in_charge:
@@ -69,8 +72,13 @@
             # what was decided stands; what was not is found by the edge's own look for reqs past their time
             self.faults += 1
             place = traceback.extract_tb(why.__traceback__)[-1]
-            self.log.error("round_failed", error="%s: %s" % (type(why).__name__, why), where=place.name,
-                           line=place.lineno, file=place.filename.rpartition("/")[2])
+            self.log.error(
+                "round_failed",
+                error="%s: %s" % (type(why).__name__, why),
+                where=place.name,
+                line=place.lineno,
+                file=place.filename.rpartition("/")[2],
+            )
             self.wake(CHAIN, 20_000)
 
     # ---- a planner's ----
@@ -93,8 +101,12 @@
 
     def answered(self, link, message):
         """A planner's decisions came in."""
-        if link is not self.link or self.waiting is None or not self.takeover.counts(message.epoch) or (
-                message.seq != self.seq):
+        if (
+            link is not self.link
+            or self.waiting is None
+            or not self.takeover.counts(message.epoch)
+            or (message.seq != self.seq)
+        ):
             self.counters["decisions_of_old_epoch"] += 1
             return
         self.waiting.set(message)
@@ -109,8 +121,13 @@
         self.later = [id for id, _ in facts["later"]]
         self.link, self.chain = link, None
         self.counters["handed_over"] += 1
-        self.log.info("handed_over", epoch=epoch, open=len(facts["reqs"]) + len(self.later),
-                      planner=link.name, took_us=clock.now() - now)
+        self.log.info(
+            "handed_over",
+            epoch=epoch,
+            open=len(facts["reqs"]) + len(self.later),
+            planner=link.name,
+            took_us=clock.now() - now,
+        )
         if not link.send(Handover(epoch, now, facts, self.learnt)):
             return self._take_over(now, "left")
         self.post("look")
@@ -149,8 +166,13 @@
         self.chain = self.make_chain()
         self.chain.adopt(now, facts, self.learnt)
         self.counters["taken_over"] += 1
-        self.log.warning("taken_over", why=why, epoch=epoch, open=len(facts["reqs"]) + len(self.later),
-                         took_us=clock.now() - now)
+        self.log.warning(
+            "taken_over",
+            why=why,
+            epoch=epoch,
+            open=len(facts["reqs"]) + len(self.later),
+            took_us=clock.now() - now,
+        )
         if link is not None:
             link.close()
         self._decide(clock.now(), [("look", ())])
--- a/martenrouter/edge/door.py
+++ b/martenrouter/edge/door.py
@@ -1,13 +1,21 @@
 """The client door: JSON-RPC 2.0 over WebSocket (RFC 6455, by wsproto). A greenlet reads each connection; a second one
 exists only while there is something to be sent."""
+
 import collections
 
 import gevent
 from gevent import socket
 from gevent.server import StreamServer
 from wsproto import ConnectionType, WSConnection
-from wsproto.events import (AcceptConnection, BytesMessage, CloseConnection, Ping, RejectConnection, Request,
-                            TextMessage)
+from wsproto.events import (
+    AcceptConnection,
+    BytesMessage,
+    CloseConnection,
+    Ping,
+    RejectConnection,
+    Request,
+    TextMessage,
+)
 from wsproto.utilities import ProtocolError
 
 from martenrouter.edge import clock
@@ -158,8 +166,11 @@
 
     def sweep(self, now):
         """Closes connections whose client has taken nothing for too long."""
-        for conn in [conn for conn in self.conns.values()
-                     if conn.writing_since is not None and now - conn.writing_since > self.unread_within]:
+        for conn in [
+            conn
+            for conn in self.conns.values()
+            if conn.writing_since is not None and now - conn.writing_since > self.unread_within
+        ]:
             self.counters["connection_closed_unread"] += 1
             conn.close()
 
@@ -234,10 +245,14 @@
 
     def _generate(self, conn, item, batched):
         if not item.told_id or item.id is None:
-            return jsonrpc.error(None, jsonrpc.INVALID, "generate needs an id: its answer is the final answer")
+            return jsonrpc.error(
+                None, jsonrpc.INVALID, "generate needs an id: its answer is the final answer"
+            )
         if batched:
             # an array is answered when its slowest call is: the others would pass their deadlines
-            return jsonrpc.error(item.id, jsonrpc.INVALID, "generate is not taken in an array; send it by itself")
+            return jsonrpc.error(
+                item.id, jsonrpc.INVALID, "generate is not taken in an array; send it by itself"
+            )
         if item.id in conn.reqs:
             # answered without the id: a second response to it would be taken for the final answer
             self.counters["client_id_twice"] += 1
--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -3,6 +3,7 @@
 Every forward ends exactly once, in the module's words. What proves that nothing ran: no connection (unreachable), and
 the statuses that wire/engine.py lists. A reset, even before a byte of answer, proves nothing: the req was on the way.
 """
+
 import gevent
 
 from martenrouter.edge import clock
@@ -40,12 +41,19 @@
             ending, note = "timed out", 0
         except Broke as why:
             ending, note = why.ending, 0
-            self.log.debug("forward_broke", forward=forward.id, engine=forward.engine, ending=ending, why=why.why)
+            self.log.debug(
+                "forward_broke", forward=forward.id, engine=forward.engine, ending=ending, why=why.why
+            )
         except Exception as why:
             # guards against a fault of this process: a forward without an end would be waited for to its request's deadline
             ending, note = "unreachable" if connection is None else "reset", 0
             self.counters["forward_failed"] += 1
-            self.log.error("forward_failed", forward=forward.id, engine=forward.engine, error="%s: %s" % (type(why).__name__, why))
+            self.log.error(
+                "forward_failed",
+                forward=forward.id,
+                engine=forward.engine,
+                error="%s: %s" % (type(why).__name__, why),
+            )
         finally:
             if connection is not None and not clean:
                 connection.abort()  # a request that its engine has not got whole by now never gets there
@@ -58,10 +66,27 @@
         if forward.role == "read":
             data = wire.read(host, forward.id, r.trace, self.model, r.body, r.tools, r.goes_on)
         else:
-            data = wire.write(host, forward.id, r.trace, self.model, r.body, max(r.max_tokens - len(r.texts), 1),
-                              forward.state, r.key, r.tools, r.goes_on)
-        self.record("forward_out", forward=forward.id, req=r.id, engine=forward.engine, role=forward.role, trace=r.trace,
-                    by=hear.desk.who())
+            data = wire.write(
+                host,
+                forward.id,
+                r.trace,
+                self.model,
+                r.body,
+                max(r.max_tokens - len(r.texts), 1),
+                forward.state,
+                r.key,
+                r.tools,
+                r.goes_on,
+            )
+        self.record(
+            "forward_out",
+            forward=forward.id,
+            req=r.id,
+            engine=forward.engine,
+            role=forward.role,
+            trace=r.trace,
+            by=hear.desk.who(),
+        )
         try:
             connection.sendall(data)
         except OSError as why:
@@ -176,4 +201,3 @@
                 if last:
                     self.counters["let_go_failed"] += 1
                     self.log.info("let_go_failed", engine=engine, forward=forward_id, why=str(why))
-
--- a/martenrouter/edge/facts.py
+++ b/martenrouter/edge/facts.py
@@ -3,25 +3,65 @@
 A `Req` is the one record of an open `generate`: the answer so far, calls and results, forwards, what is held, deadline, who
 listens. A planner in another process is rebuilt from these.
 """
+
 from martenrouter.decisions.conversations import leg_id
 
 
 class Req:
-    __slots__ = ("id", "trace", "group", "customer", "session", "key", "key_at", "digest", "deadline", "arrived",
-                 "messages", "size", "body", "goes_on", "tools", "repeatable", "max_tokens",
-                 "leg", "used", "forwards", "owner", "held", "texts", "step", "step_texts", "step_calls", "calls",
-                 "listeners", "left_at", "answered", "swamped", "usage", "finish",
-                 "told", "conn_id", "leg_at", "since", "reader", "effect", "rewrites", "paused", "prompt_tokens")
+    __slots__ = (
+        "id",
+        "trace",
+        "group",
+        "customer",
+        "session",
+        "key",
+        "key_at",
+        "digest",
+        "deadline",
+        "arrived",
+        "messages",
+        "size",
+        "body",
+        "goes_on",
+        "tools",
+        "repeatable",
+        "max_tokens",
+        "leg",
+        "used",
+        "forwards",
+        "owner",
+        "held",
+        "texts",
+        "step",
+        "step_texts",
+        "step_calls",
+        "calls",
+        "listeners",
+        "left_at",
+        "answered",
+        "swamped",
+        "usage",
+        "finish",
+        "told",
+        "conn_id",
+        "leg_at",
+        "since",
+        "reader",
+        "effect",
+        "rewrites",
+        "paused",
+        "prompt_tokens",
+    )
 
     def __init__(self, id, arrived):
         self.id, self.arrived = id, arrived
-        self.leg, self.used = 0, 0   # the leg that is on, and how many forwards it has had
-        self.forwards = {}           # (leg id, n) -> Forward, while out
-        self.owner = None            # the forward whose tokens the client gets: the first of the leg that began
-        self.held = None             # Held: a state that waits at an engine
-        self.texts = []              # tokens relayed, all legs
+        self.leg, self.used = 0, 0  # the leg that is on, and how many forwards it has had
+        self.forwards = {}  # (leg id, n) -> Forward, while out
+        self.owner = None  # the forward whose tokens the client gets: the first of the leg that began
+        self.held = None  # Held: a state that waits at an engine
+        self.texts = []  # tokens relayed, all legs
         self.step, self.step_texts, self.step_calls = 0, [], []
-        self.calls = {}              # identity -> ToolCall, all steps
+        self.calls = {}  # identity -> ToolCall, all steps
         self.listeners, self.left_at = [], None
         self.answered = self.swamped = self.goes_on = False
         self.usage, self.finish, self.prompt_tokens = [0, 0], None, 0
@@ -37,6 +77,7 @@
 
 class Listener:
     """A connection that gets this req's tokens and its final answer, under its own JSON-RPC id."""
+
     __slots__ = ("conn", "rpc_id", "index", "stuck")
 
     def __init__(self, conn, rpc_id, index):
@@ -44,7 +85,18 @@
 
 
 class ToolCall:
-    __slots__ = ("identity", "rpc_id", "whole", "result", "failed", "conn", "step", "wanted", "sent_at", "dropped")
+    __slots__ = (
+        "identity",
+        "rpc_id",
+        "whole",
+        "result",
+        "failed",
+        "conn",
+        "step",
+        "wanted",
+        "sent_at",
+        "dropped",
+    )
 
     def __init__(self, identity, rpc_id, whole, step):
         self.identity, self.rpc_id, self.whole, self.step = identity, rpc_id, whole, step
@@ -60,8 +112,25 @@
 
 
 class Forward:
-    __slots__ = ("req", "leg", "n", "id", "engine", "role", "time_out", "sent", "began", "over", "greenlet", "load", "state",
-                 "joiner", "kept", "usage", "finish")
+    __slots__ = (
+        "req",
+        "leg",
+        "n",
+        "id",
+        "engine",
+        "role",
+        "time_out",
+        "sent",
+        "began",
+        "over",
+        "greenlet",
+        "load",
+        "state",
+        "joiner",
+        "kept",
+        "usage",
+        "finish",
+    )
 
     def __init__(self, req, leg, n, id, engine, role, time_out, sent, joiner):
         self.req, self.leg, self.n, self.id, self.engine, self.role = req, leg, n, id, engine, role
@@ -72,6 +141,7 @@
 
 class KeptAnswer:
     """A final answer that a repeat of its key gets again."""
+
     __slots__ = ("digest", "texts", "final", "until")
 
     def __init__(self, digest, texts, final, until):
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -1,5 +1,5 @@
-"""One front as a process: its hands (edge/hands.py) put together with a desk, a client door, connections to engines, the list.
-"""
+"""One front as a process: its hands (edge/hands.py) put together with a desk, a client door, connections to engines, the list."""
+
 import os
 import signal
 
@@ -35,19 +35,62 @@
         super().__init__(settings, records.recorder(settings.records, settings.name), log)
         limits = settings.limits
         module, chain = settings_of.for_module(settings), settings_of.for_chain(settings)
-        self.desk = Desk(lambda: Chain(settings.seed, module, chain), self, lambda: facts(self),
-                         lambda id: of_one(self, id), settings_of.us(settings.round_ms), self.counters, log)
-        self.plan = PlannerDoor(settings.planner, self.desk, Welcome(
-            VERSION, settings.name, settings.seed, Takeover.for_planner(module), Takeover.for_planner(chain)), self.counters, log) if settings.planner else None
-        self.engines = Engines(Connections(limits.idle_connections_an_engine), settings_of.us(limits.connect_within_ms),
-                               settings.model, self.record, self.counters, log)
-        self.door = Door(settings_of.address(settings.listen, "listen"), limits, self, self.counters, self.record, log)
+        self.desk = Desk(
+            lambda: Chain(settings.seed, module, chain),
+            self,
+            lambda: facts(self),
+            lambda id: of_one(self, id),
+            settings_of.us(settings.round_ms),
+            self.counters,
+            log,
+        )
+        self.plan = (
+            PlannerDoor(
+                settings.planner,
+                self.desk,
+                Welcome(
+                    VERSION,
+                    settings.name,
+                    settings.seed,
+                    Takeover.for_planner(module),
+                    Takeover.for_planner(chain),
+                ),
+                self.counters,
+                log,
+            )
+            if settings.planner
+            else None
+        )
+        self.engines = Engines(
+            Connections(limits.idle_connections_an_engine),
+            settings_of.us(limits.connect_within_ms),
+            settings.model,
+            self.record,
+            self.counters,
+            log,
+        )
+        self.door = Door(
+            settings_of.address(settings.listen, "listen"), limits, self, self.counters, self.record, log
+        )
         source = settings.list
         source = msgspec.structs.replace(
-            source, service=settings_of.address(source.service, "list.service") if source.service else None)
-        self.roster = Roster(settings.name, source, settings.seed, self.list_came, self.engines.moved, self.counters,
-                             self.record, log)
-        self.books = Books(settings.budgets, settings.name, settings.fronts, self.counters, log) if settings.budgets else None
+            source, service=settings_of.address(source.service, "list.service") if source.service else None
+        )
+        self.roster = Roster(
+            settings.name,
+            source,
+            settings.seed,
+            self.list_came,
+            self.engines.moved,
+            self.counters,
+            self.record,
+            log,
+        )
+        self.books = (
+            Books(settings.budgets, settings.name, settings.fronts, self.counters, log)
+            if settings.budgets
+            else None
+        )
         self.done, self.loop = Event(), LoopWatch()
 
     # ---- life ----
@@ -91,7 +134,9 @@
         if self.books and told and told.budgets:
             self.books.changed(told.budgets)
         else:
-            self.log.warning("settings_not_read_again", why="only budgets are, where there were some at the start")
+            self.log.warning(
+                "settings_not_read_again", why="only budgets are, where there were some at the start"
+            )
 
     def stop(self):
         """Nothing new is taken; what is open is finished, or answered when the time to stop is over."""
@@ -121,11 +166,22 @@
 
     def status(self):
         cost = self.desk.cost
-        return {"name": self.settings.name, "open": self.count(), "connections": len(self.door.conns),
-                "rounds": self.desk.rounds, "round_us": {"p50": cost.get_value_at_percentile(50),
-                                                         "p99": cost.get_value_at_percentile(99),
-                                                         "max": cost.get_max_value()},
-                "loop_late_us": self.loop.status(), "faults": self.desk.faults, "decides": self.desk.who(),
-                "epoch": self.desk.takeover.epoch, "list": [self.roster.members.epoch, self.roster.members.version],
-                "engines": len(self.engines.addresses), "counters": dict(self.counters),
-                **({"budgets": self.books.status()} if self.books else {})}
+        return {
+            "name": self.settings.name,
+            "open": self.count(),
+            "connections": len(self.door.conns),
+            "rounds": self.desk.rounds,
+            "round_us": {
+                "p50": cost.get_value_at_percentile(50),
+                "p99": cost.get_value_at_percentile(99),
+                "max": cost.get_max_value(),
+            },
+            "loop_late_us": self.loop.status(),
+            "faults": self.desk.faults,
+            "decides": self.desk.who(),
+            "epoch": self.desk.takeover.epoch,
+            "list": [self.roster.members.epoch, self.roster.members.version],
+            "engines": len(self.engines.addresses),
+            "counters": dict(self.counters),
+            **({"budgets": self.books.status()} if self.books else {}),
+        }
--- a/martenrouter/edge/hands.py
+++ b/martenrouter/edge/hands.py
@@ -5,6 +5,7 @@
 What it is put together with (`desk`, `engines`, and the connections that call `asked`, `answered`, `cancelled`, `client_left`)
 is on sockets in a running front (edge/front.py) and in virtual time in the laboratory.
 """
+
 import collections
 import os
 
@@ -28,11 +29,17 @@
         self.counters = collections.Counter()
         self.groups = {group.name: group for group in settings.groups}
         self.role_by_kind = {kind.name: kind.role for kind in settings.kinds}
-        self.roles = {}                    # engine -> role
+        self.roles = {}  # engine -> role
         self.customers = {customer.name for customer in settings.customers}
-        self.keys, self.kept = {}, collections.OrderedDict()  # (customer, key) -> open req; -> KeptAnswer, oldest first
-        self.tool_calls, self.last_call = {}, 0               # JSON-RPC id of a call -> (req, call), while it may be answered
-        self.reqs, self.last_id = {}, 0    # open reqs; those answered stay until their forwards are over
+        self.keys, self.kept = (
+            {},
+            collections.OrderedDict(),
+        )  # (customer, key) -> open req; -> KeptAnswer, oldest first
+        self.tool_calls, self.last_call = (
+            {},
+            0,
+        )  # JSON-RPC id of a call -> (req, call), while it may be answered
+        self.reqs, self.last_id = {}, 0  # open reqs; those answered stay until their forwards are over
         self.boot = "%x" % (clock.wall() // 1000)  # tells this process's forwards from those of one before
         self.lengths, self.stopping = Lengths(), False
         self.desk = self.engines = self.books = None  # books: edge/books.py, where customers have budgets
@@ -46,10 +53,20 @@
         for r in [r for r in self.reqs.values() if now >= r.deadline and not r.answered]:
             self.counters["answered_overdue"] += 1
             self.desk.post("gone", r.id)
-            self._answer(r, lambda id, r=r: jsonrpc.aborted(id, "fault in the front", self._name(r)), "aborted", "overdue")
+            self._answer(
+                r,
+                lambda id, r=r: jsonrpc.aborted(id, "fault in the front", self._name(r)),
+                "aborted",
+                "overdue",
+            )
             self.let_go(r.id)
-        for r in [r for r in self.reqs.values() if r.left_at is not None and not r.answered
-                  and now - r.left_at > settings_of.us(self.settings.limits.rejoin_within_ms)]:
+        for r in [
+            r
+            for r in self.reqs.values()
+            if r.left_at is not None
+            and not r.answered
+            and now - r.left_at > settings_of.us(self.settings.limits.rejoin_within_ms)
+        ]:
             self._gone(r)
 
     def list_came(self, call, version, scope, rows):
@@ -70,15 +87,21 @@
         if told.customer is not None and self.customers and told.customer not in self.customers:
             raise jsonrpc.BadParams("params.customer: %r is not known here" % told.customer)
         if group.effect == "keyed" and not told.key:
-            raise jsonrpc.BadParams("params.key: group %s is keyed, its reqs name an idempotency key" % group.name)
+            raise jsonrpc.BadParams(
+                "params.key: group %s is keyed, its reqs name an idempotency key" % group.name
+            )
         found = tools.tools(told.tools or [])
         messages = told.messages or [jsonrpc.Message(role="user", content=told.prompt)]
-        plain = [{name: value for name, value in msgspec.structs.asdict(message).items() if value is not None}
-                 for message in messages]
+        plain = [
+            {name: value for name, value in msgspec.structs.asdict(message).items() if value is not None}
+            for message in messages
+        ]
         max_tokens = min(told.max_tokens or group.max_tokens, group.max_tokens)
         digest = None
         if told.key:
-            digest = xxhash.xxh3_128_digest(msgspec.json.encode([plain, group.name, told.tools, max_tokens, told.session]))
+            digest = xxhash.xxh3_128_digest(
+                msgspec.json.encode([plain, group.name, told.tools, max_tokens, told.session])
+            )
             if self._known(conn, rpc_id, told, digest):
                 return None
         now = clock.now()
@@ -92,25 +115,44 @@
         r.key_at = (told.customer, told.key) if told.key else None
         if r.key_at:
             self.keys[r.key_at] = r
-        r.tools, r.repeatable = tools.for_engine(found) or None, {tool.name: tool.repeatable for tool in found}
+        r.tools, r.repeatable = (
+            tools.for_engine(found) or None,
+            {tool.name: tool.repeatable for tool in found},
+        )
         r.max_tokens = max_tokens
         r.trace = told.trace or "00-%s-%s-01" % (os.urandom(16).hex(), os.urandom(8).hex())
-        r.deadline = now + settings_of.us(told.deadline_ms if told.deadline_ms is not None else group.deadline_ms)
+        r.deadline = now + settings_of.us(
+            told.deadline_ms if told.deadline_ms is not None else group.deadline_ms
+        )
         prefix, shared = None, 0
         if len(messages) > 1 and messages[0].role == "system":
             prefix = xxhash.xxh64_hexdigest((messages[0].content or "").encode())
             shared = self.lengths.guess(group.name, sizes[0])
         hint = settings_of.us(told.expected_tokens * group.token_target_ms) if told.expected_tokens else None
         self.counters["taken"] += 1
-        self.record("req_in", req=r.id, conn=conn.id, id=rpc_id, trace=r.trace, group=group.name, deadline=r.deadline)
-        r.told = (group.name, told.customer, told.session, r.deadline, hint, prefix,
-                  self.lengths.guess(group.name, r.size), shared, r.max_tokens, 1 if hint else 0)
+        self.record(
+            "req_in", req=r.id, conn=conn.id, id=rpc_id, trace=r.trace, group=group.name, deadline=r.deadline
+        )
+        r.told = (
+            group.name,
+            told.customer,
+            told.session,
+            r.deadline,
+            hint,
+            prefix,
+            self.lengths.guess(group.name, r.size),
+            shared,
+            r.max_tokens,
+            1 if hint else 0,
+        )
         r.conn_id = conn.id
         if self.books is not None:
             refused = self.books.taken(r, r.told[6])
             if refused is not None:
                 reason, after = refused
-                self._answer(r, lambda id: jsonrpc.pushed_back(id, reason, after, self._name(r)), "pushed back", reason)
+                self._answer(
+                    r, lambda id: jsonrpc.pushed_back(id, reason, after, self._name(r)), "pushed back", reason
+                )
                 return None
             self.books.opened_(r, self._name(r))
         self.desk.post("arrived", r.id, *r.told, conn.id)
@@ -148,8 +190,10 @@
     def _tell(self, listener, texts):
         """Tokens that a listener has not had yet."""
         if listener.index < len(texts) and not listener.stuck:
-            message = jsonrpc.call("generate/token", {"id": listener.rpc_id, "index": listener.index,
-                                                      "tokens": texts[listener.index:]})
+            message = jsonrpc.call(
+                "generate/token",
+                {"id": listener.rpc_id, "index": listener.index, "tokens": texts[listener.index :]},
+            )
             if listener.conn.send(message):
                 listener.index = len(texts)
             else:
@@ -183,7 +227,8 @@
     def _size(self, r):
         """(tokens of prompt, answer so far and results; tokens left to be written), as guessed."""
         more = sum(len(text) for text in r.step_texts) + sum(
-            len(call.whole.text) + len(call.result or "") for call in r.step_calls)
+            len(call.whole.text) + len(call.result or "") for call in r.step_calls
+        )
         return self.lengths.guess(r.group.name, r.size + more), max(r.max_tokens - len(r.texts), 1)
 
     def cancelled(self, conn, rpc_id):
@@ -194,7 +239,11 @@
         self.counters["client_cancelled"] += 1
         message = jsonrpc.aborted(rpc_id, "cancelled by the client", self._name(r))
         if len(r.listeners) > 1:  # another connection still wants it
-            r.listeners = [listener for listener in r.listeners if listener.conn.reqs is not conn.reqs or listener.rpc_id != rpc_id]
+            r.listeners = [
+                listener
+                for listener in r.listeners
+                if listener.conn.reqs is not conn.reqs or listener.rpc_id != rpc_id
+            ]
             del conn.reqs[rpc_id]
             conn.send(message, spare=True)
             return
@@ -243,7 +292,7 @@
         r.step_texts += texts
         if self.books is not None and not self.books.wrote(r):
             # the token that would pass the cap is not the client's; the answer ends before it, and its engine hears of it
-            del r.texts[len(r.texts) - len(texts):], r.step_texts[len(r.step_texts) - len(texts):]
+            del r.texts[len(r.texts) - len(texts) :], r.step_texts[len(r.step_texts) - len(texts) :]
             forward.finish = "budget"
             self.ended(forward, "done", 0)
             self.engines.stop(forward)
@@ -260,11 +309,15 @@
             return
         r = forward.req
         for one in whole:
-            asks = xxhash.xxh64_hexdigest(one.name.encode() + msgspec.json.encode(one.arguments, order="sorted"))
+            asks = xxhash.xxh64_hexdigest(
+                one.name.encode() + msgspec.json.encode(one.arguments, order="sorted")
+            )
             identity = "%d.%d.%s" % (r.step, one.index, asks)
             call = r.calls.get(identity)
             if call is None:
-                for old in [old for old in r.calls.values() if (old.step, old.whole.index) == (r.step, one.index)]:
+                for old in [
+                    old for old in r.calls.values() if (old.step, old.whole.index) == (r.step, one.index)
+                ]:
                     self._changed(r, old)
                 self.last_call += 1
                 call = r.calls[identity] = ToolCall(identity, "t%d" % self.last_call, one, r.step)
@@ -316,15 +369,27 @@
         if forward.role == "read" and ending not in ("read", "full", "unreachable", "error"):
             # the read may have ended there while this end of the connection was being closed: nobody would know of it
             self._release(forward.engine, forward.id, r)
-        elif r.tools and forward.role != "read" and (r.answered and ending == "step" or ending not in (
-                "done", "step", "full", "unreachable")):
+        elif (
+            r.tools
+            and forward.role != "read"
+            and (r.answered and ending == "step" or ending not in ("done", "step", "full", "unreachable"))
+        ):
             # its step may have ended there, with a state kept that was never heard of
             self._release(forward.engine, forward.id, r)
         now = clock.now()
         elapsed = now - forward.sent
-        if ending != "unreachable":  # one that never left changes nothing for what is held, and a reset may not have come there
-            r.since = r.since + elapsed if ending == "reset" else now  # as the module's release clock: rules.py, outcome
-        if forward.role != "read" and r.effect is None and ending not in NEVER_RAN and forward.leg == r.leg_id:
+        if (
+            ending != "unreachable"
+        ):  # one that never left changes nothing for what is held, and a reset may not have come there
+            r.since = (
+                r.since + elapsed if ending == "reset" else now
+            )  # as the module's release clock: rules.py, outcome
+        if (
+            forward.role != "read"
+            and r.effect is None
+            and ending not in NEVER_RAN
+            and forward.leg == r.leg_id
+        ):
             r.effect = forward.n, forward.engine, forward.sent
         if forward.usage is not None:
             r.usage[0] += forward.usage.prompt_tokens
@@ -333,16 +398,42 @@
             r.paused = True
             if forward.kept is not None:
                 r.held, r.reader = Held(forward.engine, forward.id, forward.kept), forward.engine
-            self.desk.post("step", forward.leg, forward.n, forward.engine, elapsed, forward.load, r.held is not None,
-                           [(call.identity, call.whole.name, r.repeatable.get(call.whole.name, False))
-                            for call in r.step_calls if call.result is None], *self._size(r))
+            self.desk.post(
+                "step",
+                forward.leg,
+                forward.n,
+                forward.engine,
+                elapsed,
+                forward.load,
+                r.held is not None,
+                [
+                    (call.identity, call.whole.name, r.repeatable.get(call.whole.name, False))
+                    for call in r.step_calls
+                    if call.result is None
+                ],
+                *self._size(r),
+            )
             return
         if ending == "done" and not r.answered:
-            result = {"ending": "done", "finish_reason": forward.finish, "tokens": len(r.texts), "req": self._name(r),
-                      "usage": {"prompt_tokens": r.usage[0], "completion_tokens": r.usage[1]}}
+            result = {
+                "ending": "done",
+                "finish_reason": forward.finish,
+                "tokens": len(r.texts),
+                "req": self._name(r),
+                "usage": {"prompt_tokens": r.usage[0], "completion_tokens": r.usage[1]},
+            }
             self._answer(r, lambda id: jsonrpc.result(id, result), "done", "")
-        self.desk.post("outcome", forward.leg, forward.n, "done" if ending == "step" else ending, forward.engine, elapsed,
-                       r.answered, note, forward.load)
+        self.desk.post(
+            "outcome",
+            forward.leg,
+            forward.n,
+            "done" if ending == "step" else ending,
+            forward.engine,
+            elapsed,
+            r.answered,
+            note,
+            forward.load,
+        )
         self._forget(r)
 
     def _forget(self, r):
@@ -368,9 +459,23 @@
             got = ending == "done" or ending == "client left" or reason == "cancelled"
             if got and (r.texts or ending == "done"):
                 # booked before it is told: of what a crash loses, no client was told that it is done
-                return self.books.settled(r, self._name(r), self._prompt(r), lambda booked: self._final(
-                    r, *((final, ending, reason) if booked or ending != "done" else (
-                        lambda id: jsonrpc.aborted(id, "usage can't be booked", self._name(r)), "aborted", "not booked"))))
+                return self.books.settled(
+                    r,
+                    self._name(r),
+                    self._prompt(r),
+                    lambda booked: self._final(
+                        r,
+                        *(
+                            (final, ending, reason)
+                            if booked or ending != "done"
+                            else (
+                                lambda id: jsonrpc.aborted(id, "usage can't be booked", self._name(r)),
+                                "aborted",
+                                "not booked",
+                            )
+                        ),
+                    ),
+                )
             self.books.dropped(r, self._name(r), self._prompt(r))
         self._final(r, final, ending, reason)
 
@@ -381,11 +486,15 @@
     def _final(self, r, final, ending, reason):
         self.counters["req_" + ending.replace(" ", "_")] += 1
         self.record("req_out", req=r.id, trace=r.trace, ending=ending, reason=reason, tokens=len(r.texts))
-        self.log.debug("req_ended", req=r.id, ending=ending, reason=reason, tokens=len(r.texts), trace=r.trace)
+        self.log.debug(
+            "req_ended", req=r.id, ending=ending, reason=reason, tokens=len(r.texts), trace=r.trace
+        )
         if r.key_at:
             self.keys.pop(r.key_at, None)
             if final is not None and ending != "pushed back":  # a retry after a pushback wants a new try
-                self.kept[r.key_at] = KeptAnswer(r.digest, r.texts, final, clock.now() + settings_of.us(r.group.repeat_window_ms))
+                self.kept[r.key_at] = KeptAnswer(
+                    r.digest, r.texts, final, clock.now() + settings_of.us(r.group.repeat_window_ms)
+                )
                 while len(self.kept) > self.settings.limits.answers_kept:
                     self.kept.popitem(last=False)
         for listener in r.listeners:
@@ -412,8 +521,17 @@
             return
         role = self.roles.get(engine, "both")
         n, r.used = r.used, r.used + 1
-        forward = Forward(r, leg, n, "%s-%s-%d.%d-%d" % (self.settings.name, self.boot, r.id, r.leg, n), engine, role,
-                          time_out, clock.now(), tools.Joiner(self.settings.limits.tool_arguments_bytes))
+        forward = Forward(
+            r,
+            leg,
+            n,
+            "%s-%s-%d.%d-%d" % (self.settings.name, self.boot, r.id, r.leg, n),
+            engine,
+            role,
+            time_out,
+            clock.now(),
+            tools.Joiner(self.settings.limits.tool_arguments_bytes),
+        )
         forward.state = r.held.state if r.held and role != "read" else None
         r.forwards[(leg, n)] = forward
         self.engines.start(forward, self)
@@ -422,7 +540,9 @@
         r = self._open(leg)
         if r is not None:
             self.counters["pushed_back: " + reason] += 1
-            self._answer(r, lambda id: jsonrpc.pushed_back(id, reason, wait, self._name(r)), "pushed back", reason)
+            self._answer(
+                r, lambda id: jsonrpc.pushed_back(id, reason, wait, self._name(r)), "pushed back", reason
+            )
 
     def abort(self, leg, reason):
         r = self._open(leg)
@@ -465,7 +585,9 @@
             self.tool_calls[call.rpc_id] = r, call
             self.counters["tool_call_sent_again" if again else "tool_call_sent"] += 1
             self.record("tool_out", req=r.id, trace=r.trace, call=call.identity, name=call.whole.name)
-            listener.conn.send(tools.call(call.rpc_id, listener.rpc_id, call.identity, call.whole, again), spare=True)
+            listener.conn.send(
+                tools.call(call.rpc_id, listener.rpc_id, call.identity, call.whole, again), spare=True
+            )
 
     def fail_call(self, id, identity, why):
         r = self._open(id)
@@ -487,15 +609,30 @@
             r.goes_on, r.step_calls = bool(so_far), []
             body = r.messages + ([{"role": "assistant", "content": so_far}] if so_far else [])
         else:
-            said = {"role": "assistant", "tool_calls": [
-                {"id": call.whole.id, "type": "function", "function": {"name": call.whole.name, "arguments": call.whole.text}}
-                for call in r.step_calls]}
+            said = {
+                "role": "assistant",
+                "tool_calls": [
+                    {
+                        "id": call.whole.id,
+                        "type": "function",
+                        "function": {"name": call.whole.name, "arguments": call.whole.text},
+                    }
+                    for call in r.step_calls
+                ],
+            }
             if r.step_texts:
                 said["content"] = "".join(r.step_texts)
-            r.messages = r.messages + [said] + [{"role": "tool", "tool_call_id": call.whole.id, "content": call.result or ""}
-                                                for call in r.step_calls]
-            r.size += sum(len(text) for text in r.step_texts) + sum(len(call.whole.text) + len(call.result or "")
-                                                                    for call in r.step_calls)
+            r.messages = (
+                r.messages
+                + [said]
+                + [
+                    {"role": "tool", "tool_call_id": call.whole.id, "content": call.result or ""}
+                    for call in r.step_calls
+                ]
+            )
+            r.size += sum(len(text) for text in r.step_texts) + sum(
+                len(call.whole.text) + len(call.result or "") for call in r.step_calls
+            )
             r.step, r.step_texts, r.step_calls, r.goes_on = r.step + 1, [], [], False
             body = r.messages
         r.body = msgspec.Raw(msgspec.json.encode(body))
--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -3,6 +3,7 @@
 gevent's own socket tries to read before it waits; on a stream that sends a token each fiftieth of a second every first try
 fails. Measured by bench/front.py: a tenth of a front's processor time at 130 reqs a second.
 """
+
 import array
 import fcntl
 import select
@@ -14,7 +15,9 @@
 from gevent import socket as gevent_socket
 
 ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-DISCARD_UNSENT = struct.pack("ii", 1, 0)  # SO_LINGER on, for no time: a close drops what the system still holds
+DISCARD_UNSENT = struct.pack(
+    "ii", 1, 0
+)  # SO_LINGER on, for no time: a close drops what the system still holds
 READABLE, WRITABLE = 1, 2  # as in libev
 
 
--- a/martenrouter/edge/lines.py
+++ b/martenrouter/edge/lines.py
@@ -2,6 +2,7 @@
 
 A connection that its engine closed, or on which it sent what nobody asked for, is not used again.
 """
+
 import gevent
 
 from martenrouter.edge import clock
@@ -25,7 +26,7 @@
         """`kept`: decisions.connections.Connections; `connect_within` in microseconds."""
         self.kept, self.connect_within, self.counters = kept, connect_within / 1e6, counters
         self.addresses = {}  # engine -> (host, port)
-        self.left = {}       # of engines that left the list: what is still held there is let go, nothing else is sent
+        self.left = {}  # of engines that left the list: what is still held there is let go, nothing else is sent
 
     def moved(self, changed):
         """News of addresses; connections to a process that left are closed."""
--- a/martenrouter/edge/log.py
+++ b/martenrouter/edge/log.py
@@ -2,6 +2,7 @@
 
 A log that can't be written costs no request: a line that fails, or that a full pipe would hold up, is dropped.
 """
+
 import logging
 import os
 import select
@@ -44,10 +45,19 @@
 
 
 def logger(form, level, **bound):
-    shape = (structlog.processors.JSONRenderer() if form == "json"
-             else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()))
+    shape = (
+        structlog.processors.JSONRenderer()
+        if form == "json"
+        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    )
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), shape],
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            shape,
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(LossyStream(sys.stderr)), cache_logger_on_first_use=True)
+        logger_factory=structlog.PrintLoggerFactory(LossyStream(sys.stderr)),
+        cache_logger_on_first_use=True,
+    )
     return structlog.get_logger(**bound)
--- a/martenrouter/edge/loop.py
+++ b/martenrouter/edge/loop.py
@@ -3,6 +3,7 @@
 What holds a loop holds all streams alike, so this is the figure behind a pause between tokens that no engine made. A machine
 that doesn't run the process shows here too: compare with the planner's and the engines' own.
 """
+
 import gevent
 from hdrh.histogram import HdrHistogram
 
@@ -25,5 +26,8 @@
             self.late.record_value(max(clock.now() - due, 1))
 
     def status(self):
-        return {"p50": self.late.get_value_at_percentile(50), "p99": self.late.get_value_at_percentile(99),
-                "max": self.late.get_max_value()}
+        return {
+            "p50": self.late.get_value_at_percentile(50),
+            "p99": self.late.get_value_at_percentile(99),
+            "max": self.late.get_max_value(),
+        }
--- a/martenrouter/edge/planner_door.py
+++ b/martenrouter/edge/planner_door.py
@@ -1,4 +1,5 @@
 """Where a planner connects: a Unix socket that only this user may open. One planner at a time; a second one is refused."""
+
 import os
 import stat
 
@@ -7,7 +8,9 @@
 
 from martenrouter.wire import channel
 
-SEND_WITHIN = 1.0  # seconds: a planner that reads nothing for that long is gone; takeover is judged by its answers
+SEND_WITHIN = (
+    1.0  # seconds: a planner that reads nothing for that long is gone; takeover is judged by its answers
+)
 
 
 class Link:
--- a/martenrouter/edge/roster.py
+++ b/martenrouter/edge/roster.py
@@ -1,4 +1,5 @@
 """The list's subscriber: plays what decisions.membership chooses on a socket, a file and the disk."""
+
 import os
 import random
 
@@ -36,8 +37,12 @@
             data = last_list.load(self.source.keep)
             return nodes.told(data) if data is not None else None
         except (OSError, nodes.BadLine) as why:
-            self.log.warning("kept_list_unusable", path=self.source.keep, why=str(why),
-                             mend="it is written anew with the next list")
+            self.log.warning(
+                "kept_list_unusable",
+                path=self.source.keep,
+                why=str(why),
+                mend="it is written anew with the next list",
+            )
             return None
 
     # ---- what membership writes ----
@@ -118,5 +123,7 @@
                 if seen != str(why):
                     seen = str(why)
                     self.counters["list_file_unusable"] += 1
-                    self.log.warning("list_file_unusable", path=self.source.file, why=str(why), mend="the old list stays")
+                    self.log.warning(
+                        "list_file_unusable", path=self.source.file, why=str(why), mend="the old list stays"
+                    )
             gevent.sleep(FILE_LOOK)
--- a/martenrouter/edge/rounds.py
+++ b/martenrouter/edge/rounds.py
@@ -3,6 +3,7 @@
 Greenlets post what they saw and never decide. A round takes all that came in, in the order it came; rounds lie at least
 `round` microseconds apart, so that under load many events share the cost of one.
 """
+
 import gevent
 from gevent.event import Event
 
--- a/martenrouter/edge/send_buffer.py
+++ b/martenrouter/edge/send_buffer.py
@@ -1,4 +1,5 @@
 """Bytes on their way to a peer that may read slowly, in the order in which they were put."""
+
 import gevent
 
 from martenrouter.edge import clock
@@ -18,7 +19,9 @@
         `drained()` when a buffer that held something is empty."""
         self._line, self._limit, self._failed, self._drained = line, limit, failed, drained
         self._rest, self._sender = bytearray(), None
-        self.waits_since = None  # when the peer last took something, or the buffer began to fill; None while it is empty
+        self.waits_since = (
+            None  # when the peer last took something, or the buffer began to fill; None while it is empty
+        )
 
     def __len__(self):
         return len(self._rest)
@@ -30,7 +33,7 @@
     def put(self, data):
         if self.empty:
             try:
-                data = data[self._line.send_some(data):]
+                data = data[self._line.send_some(data) :]
             except OSError as why:
                 return self._failed(str(why))
             if not data:
--- a/martenrouter/edge/timers.py
+++ b/martenrouter/edge/timers.py
@@ -1,4 +1,5 @@
 """Marks that fall due at a time; one heap, of which the desk takes what is due each round."""
+
 import heapq
 
 
--- a/martenrouter/lab/audit.py
+++ b/martenrouter/lab/audit.py
@@ -2,6 +2,7 @@
 
 Read are the traffic records of clients and engines, and the export files that the ledgers give once all fronts have stopped.
 """
+
 import collections
 
 import msgspec
@@ -14,7 +15,12 @@
 
 def audited(scenario, directory, exports):
     """A rehearsal's ledgers against the records in its directory."""
-    return audit(records.read(directory), exports, msgspec.convert(scenario.settings["budgets"], settings_of.Budgets), scenario.fronts)
+    return audit(
+        records.read(directory),
+        exports,
+        msgspec.convert(scenario.settings["budgets"], settings_of.Budgets),
+        scenario.fronts,
+    )
 
 
 def audit(told, exports, budgets, fronts):
@@ -22,13 +28,27 @@
     (what, req, message), and figures."""
     sums = booking.reconcile(exports)
     charges = {}
-    breaks = [("ledger", name, str(one)) for name in ("missing", "contradictions", "torn", "after a close") for one in sums[name]]
+    breaks = [
+        ("ledger", name, str(one))
+        for name in ("missing", "contradictions", "torn", "after a close")
+        for one in sums[name]
+    ]
     for front, _, _, entries, whole in exports:
         for entry in entries:
             if entry["kind"] == booking.CHARGE:
-                trace = (entry["why"] or "").split("-")[1] if (entry["why"] or "").count("-") == 3 else entry["why"]
+                trace = (
+                    (entry["why"] or "").split("-")[1]
+                    if (entry["why"] or "").count("-") == 3
+                    else entry["why"]
+                )
                 if trace in charges and charges[trace][1]["id"] != entry["id"]:
-                    breaks.append(("charged once", trace, "charged by %s and by %s" % (charges[trace][1]["id"], entry["id"])))
+                    breaks.append(
+                        (
+                            "charged once",
+                            trace,
+                            "charged by %s and by %s" % (charges[trace][1]["id"], entry["id"]),
+                        )
+                    )
                 charges[trace] = front, entry
     got, finals, reqs, prompts = collections.Counter(), {}, {}, {}
     left, lost = set(), set()
@@ -57,33 +77,84 @@
                 continue
             entry = charge[1]
             if entry["written"] != got[trace]:
-                breaks.append(("charged what it got", trace, "charged for %d answer tokens, %d came" % (entry["written"], got[trace])))
+                breaks.append(
+                    (
+                        "charged what it got",
+                        trace,
+                        "charged for %d answer tokens, %d came" % (entry["written"], got[trace]),
+                    )
+                )
             asked = answers.chain_of(req["messages"])[-1][1]
             if entry["prompt"] != prompts.get(trace, asked) or entry["prompt"] != asked:
-                breaks.append(("charged what it got", trace, "charged for a prompt of %d tokens; asked %d, engines counted %s" % (
-                    entry["prompt"], asked, prompts.get(trace))))
-        elif charge is not None and ending in ("pushed back", "aborted") and final.get("reason") != "cancelled by the client":
-            breaks.append(("charged what it got", trace, "%s (%s), and charged" % (ending, final.get("reason"))))
+                breaks.append(
+                    (
+                        "charged what it got",
+                        trace,
+                        "charged for a prompt of %d tokens; asked %d, engines counted %s"
+                        % (entry["prompt"], asked, prompts.get(trace)),
+                    )
+                )
+        elif (
+            charge is not None
+            and ending in ("pushed back", "aborted")
+            and final.get("reason") != "cancelled by the client"
+        ):
+            breaks.append(
+                ("charged what it got", trace, "%s (%s), and charged" % (ending, final.get("reason")))
+            )
         if charge is not None:
             entry = charge[1]
             price = entry["prompt"] * budgets.read_price + entry["written"] * budgets.write_price
-            if entry["units"] > price or entry["units"] < price and got[trace] and ending == "done" and not _capped(entry, req, got[trace]):
-                breaks.append(("charged what it got", trace, "%d units for tokens worth %d" % (entry["units"], price)))
+            if (
+                entry["units"] > price
+                or entry["units"] < price
+                and got[trace]
+                and ending == "done"
+                and not _capped(entry, req, got[trace])
+            ):
+                breaks.append(
+                    ("charged what it got", trace, "%d units for tokens worth %d" % (entry["units"], price))
+                )
             units += entry["units"]
             spent[(charge[0], entry["customer"], entry["period"])] += entry["units"]
     for trace in sorted(set(charges) - set(reqs), key=str):
         breaks.append(("charged what it got", trace, "charged, and never asked for"))
     # one answer's worth is what the dearest answer of the day could cost at the most
-    worth = max((answers.chain_of(req["messages"])[-1][1] * budgets.read_price + req["max_tokens"] * budgets.write_price
-                 for req in reqs.values()), default=0)
+    worth = max(
+        (
+            answers.chain_of(req["messages"])[-1][1] * budgets.read_price
+            + req["max_tokens"] * budgets.write_price
+            for req in reqs.values()
+        ),
+        default=0,
+    )
     for (front, customer, period), sum_ in sorted(spent.items(), key=str):
         limits = budgets.customers.get(customer, budgets.each_customer) if customer is not None else None
-        if limits is not None and limits.cap is not None and limits.on_cap != "finish" and sum_ > int(limits.cap / fronts) + worth:
-            breaks.append(("caps", "%s at %s" % (customer, front), "%d units in %s, its part is %d and an answer's worth %d" % (
-                sum_, period, int(limits.cap / fronts), worth)))
-    return {"breaks": breaks, "charges": len(charges), "units": units, "done": sum(final["ending"] == "done" for final in finals.values()),
-            "unknown to clients": sum(trace in lost or trace in left for trace in charges),
-            "spent": {str(customer): sum(value for key, value in spent.items() if key[1] == customer) for _, customer, _ in spent}}
+        if (
+            limits is not None
+            and limits.cap is not None
+            and limits.on_cap != "finish"
+            and sum_ > int(limits.cap / fronts) + worth
+        ):
+            breaks.append(
+                (
+                    "caps",
+                    "%s at %s" % (customer, front),
+                    "%d units in %s, its part is %d and an answer's worth %d"
+                    % (sum_, period, int(limits.cap / fronts), worth),
+                )
+            )
+    return {
+        "breaks": breaks,
+        "charges": len(charges),
+        "units": units,
+        "done": sum(final["ending"] == "done" for final in finals.values()),
+        "unknown to clients": sum(trace in lost or trace in left for trace in charges),
+        "spent": {
+            str(customer): sum(value for key, value in spent.items() if key[1] == customer)
+            for _, customer, _ in spent
+        },
+    }
 
 
 def _capped(entry, req, got):
--- a/martenrouter/lab/emulator/engines.py
+++ b/martenrouter/lab/emulator/engines.py
@@ -2,6 +2,7 @@
 
 What standins/engine.py says over HTTP is said here to the front's hands directly, with the same endings, proofs and records.
 """
+
 import msgspec
 
 from martenrouter.standins import answers
@@ -14,8 +15,24 @@
 
 class Call:
     """One forward on its way: at its front until it is over there, at its engine until that has ended it."""
-    __slots__ = ("port", "forward", "hear", "over", "messages", "tools", "cap", "goes_on", "tokens", "calls", "sent", "stalled",
-                 "state", "keeps", "prompt")
+
+    __slots__ = (
+        "port",
+        "forward",
+        "hear",
+        "over",
+        "messages",
+        "tools",
+        "cap",
+        "goes_on",
+        "tokens",
+        "calls",
+        "sent",
+        "stalled",
+        "state",
+        "keeps",
+        "prompt",
+    )
 
     def __init__(self, port, forward, hear):
         r = forward.req
@@ -124,9 +141,21 @@
         self.refuse = self.error = self.no_finish = self.garbage = self.half_open = False
         self.bad_arguments = self.endless_arguments = False
         self.reset_after = self.stall_after = None
-        self.record("started", role=spec.role, zone=spec.zone, cell=spec.cell, born=self.model.born, cold=bool(start),
-                    cold_share=spec.cold_share, warm_within=spec.warm_within_us, fall_multiple=spec.fall_multiple,
-                    fall_window=spec.fall_window_us, capacity=spec.capacity(), seed=spec.seed, usual=spec.usual_answer)
+        self.record(
+            "started",
+            role=spec.role,
+            zone=spec.zone,
+            cell=spec.cell,
+            born=self.model.born,
+            cold=bool(start),
+            cold_share=spec.cold_share,
+            warm_within=spec.warm_within_us,
+            fall_multiple=spec.fall_multiple,
+            fall_window=spec.fall_window_us,
+            capacity=spec.capacity(),
+            seed=spec.seed,
+            usual=spec.usual_answer,
+        )
 
     def record(self, ev, **fields):
         self.world.record(self.spec.id, ev, **fields)
@@ -177,13 +206,22 @@
         reads, state = forward.role == "read", call.state
         kind = "read" if reads else "write" if state else "both"
         if not reads:
-            tokens, call.calls, skip = answers.plan(self.spec.seed, call.messages, call.cap, self.spec.usual_answer, call.tools,
-                                                    call.goes_on)
+            tokens, call.calls, skip = answers.plan(
+                self.spec.seed, call.messages, call.cap, self.spec.usual_answer, call.tools, call.goes_on
+            )
             call.tokens, call.keeps = tokens[skip:], bool(call.calls)
         job = Job(forward.id, kind, answers.chain_of(call.messages), max(len(call.tokens), 1), call.keeps)
         call.messages, call.prompt = None, job.prompt
-        self.record("forward_in", forward=forward.id, trace=forward.req.trace, kind=kind, prompt=job.prompt,
-                    work=work_of(self.spec, job), key=forward.req.key, state=state.get("remote_request_id"))
+        self.record(
+            "forward_in",
+            forward=forward.id,
+            trace=forward.req.trace,
+            kind=kind,
+            prompt=job.prompt,
+            work=work_of(self.spec, job),
+            key=forward.req.key,
+            state=state.get("remote_request_id"),
+        )
         if self.garbage:
             return queue.at(queue.now + HOP, call.port.end, call, "error", 0)
         if self.error or self.refuse:
@@ -266,19 +304,28 @@
         return {"memory_share": round(share, 4), "reqs_held": float(held), "reqs_queued": float(queued)}
 
     def _refuse(self, call, status):
-        self.record("status_out", forward=call.forward.id, status=status, ran=None if status == 500 else False)
+        self.record(
+            "status_out", forward=call.forward.id, status=status, ran=None if status == 500 else False
+        )
         ending, note = {429: ("full", 0), 412: ("full", 1), 503: ("full", 0), 500: ("error", 0)}[status]
         call.forward.load = self._load()
         self.queue.at(self.queue.now + HOP, call.port.end, call, ending, note)
 
     def _state(self, id):
-        return {"do_remote_prefill": True, "do_remote_decode": False, "remote_engine_id": self.spec.id, "remote_request_id": id}
+        return {
+            "do_remote_prefill": True,
+            "do_remote_decode": False,
+            "remote_engine_id": self.spec.id,
+            "remote_request_id": id,
+        }
 
     def _read(self, call, found):
         id, job = call.forward.id, self.model.jobs[call.forward.id]
         del self.calls[id]
         self.record("held", forward=id, read=job.prompt - found)
-        self.queue.at(self.queue.now + HOP, call.port.read, call, self._state(id), job.prompt, found, self._load())
+        self.queue.at(
+            self.queue.now + HOP, call.port.read, call, self._state(id), job.prompt, found, self._load()
+        )
 
     def _token(self, call, index, said):
         if call.stalled:
@@ -303,11 +350,24 @@
         self.record("done_out", forward=id, tokens=call.sent)
         if self.no_finish or self.bad_arguments and call.calls:
             # what came before is heard first
-            self.queue.at(self.queue.now + HOP + 1, call.port.end, call, "reset" if self.no_finish else "error", 0)
+            self.queue.at(
+                self.queue.now + HOP + 1, call.port.end, call, "reset" if self.no_finish else "error", 0
+            )
             if call.keeps:
                 self.record("held", forward=id, read=0)
             return
         if call.keeps:
             self.record("held", forward=id, read=0)
-        said.setdefault(call.port, []).append((call, [], {
-            "load": self._load(), "prompt": call.prompt, "written": call.sent, "calls": call.calls, "state": self._state(id)}))
+        said.setdefault(call.port, []).append(
+            (
+                call,
+                [],
+                {
+                    "load": self._load(),
+                    "prompt": call.prompt,
+                    "written": call.sent,
+                    "calls": call.calls,
+                    "state": self._state(id),
+                },
+            )
+        )
--- a/martenrouter/lab/emulator/events.py
+++ b/martenrouter/lab/emulator/events.py
@@ -4,6 +4,7 @@
 heap when its time has come. Most events lie a few milliseconds ahead, so that the heap stays small; see bench/emulator.py for the
 measure against one heap. Both give the same order.
 """
+
 import heapq
 
 SHIFT = 10  # a bucket of 1,024 us: about the fronts' round, so that a bucket holds what one round of all fronts causes
--- a/martenrouter/lab/emulator/fronts.py
+++ b/martenrouter/lab/emulator/fronts.py
@@ -1,4 +1,5 @@
 """A front in virtual time: its real hands, desk, chain, module and membership; the ways in and out are calls that take a hop."""
+
 import random
 import time
 
@@ -14,7 +15,7 @@
 from martenrouter.settings import front as settings_of
 from martenrouter.wire import jsonrpc
 
-LOOK = 50_000          # microseconds between the hands' looks, as in a running front
+LOOK = 50_000  # microseconds between the hands' looks, as in a running front
 ROSTER_LOOK = 1_000_000
 CONNECT_AGAIN = 50_000  # a planner whose edge gave up on it connects again after some such time
 
@@ -32,9 +33,28 @@
 
     def __init__(self, world, make_chain, make_planners, hands, round_us, planner):
         """`make_planners()` gives a chain as a planner makes it."""
-        super().__init__(make_chain, hands, lambda: facts(hands), lambda id: of_one(hands, id), round_us, hands.counters, NoLog())
-        self.world, self.queue, self.last, self.round_at, self.dead = world, world.queue, -round_us, None, False
-        self.make_planners, self.planner, self.planner_up, self.lost_since = make_planners, planner, planner, None
+        super().__init__(
+            make_chain,
+            hands,
+            lambda: facts(hands),
+            lambda id: of_one(hands, id),
+            round_us,
+            hands.counters,
+            NoLog(),
+        )
+        self.world, self.queue, self.last, self.round_at, self.dead = (
+            world,
+            world.queue,
+            -round_us,
+            None,
+            False,
+        )
+        self.make_planners, self.planner, self.planner_up, self.lost_since = (
+            make_planners,
+            planner,
+            planner,
+            None,
+        )
         if planner:
             self.queue.at(CONNECT_AGAIN, self._hand_over_soon)
 
@@ -167,6 +187,7 @@
 
 class VirtualConn:
     """A client's connection as the hands see it. The client's end gets each message a hop later, decoded."""
+
     __slots__ = ("id", "reqs", "open", "queue", "end")
 
     def __init__(self, id, queue, end):
@@ -188,13 +209,25 @@
         hands = self.hands = Hands(settings, lambda ev, **fields: None, NoLog())
         hands.engines = self.port = Port(world)
         hands.desk = self.desk = VirtualDesk(
-            world, lambda: world.decide(settings.seed, module, chain),
-            lambda: world.decide(settings.seed, Takeover.for_planner(module), Takeover.for_planner(chain)), hands,
-            settings_of.us(settings.round_ms), planner)
-        hands.roster = self.roster = VirtualRoster(world, hands, self.port, settings.name, settings.seed, kept_list)
+            world,
+            lambda: world.decide(settings.seed, module, chain),
+            lambda: world.decide(settings.seed, Takeover.for_planner(module), Takeover.for_planner(chain)),
+            hands,
+            settings_of.us(settings.round_ms),
+            planner,
+        )
+        hands.roster = self.roster = VirtualRoster(
+            world, hands, self.port, settings.name, settings.seed, kept_list
+        )
         if settings.budgets:
             # without a ledger: a disk is no part of a day in virtual time
-            hands.books = Books(msgspec.structs.replace(settings.budgets, ledger=None), settings.name, settings.fronts, hands.counters, NoLog())
+            hands.books = Books(
+                msgspec.structs.replace(settings.budgets, ledger=None),
+                settings.name,
+                settings.fronts,
+                hands.counters,
+                NoLog(),
+            )
         self.conns, self.last_conn = {}, 0
 
     def start(self):
@@ -244,5 +277,3 @@
         for conn in self.conns.values():
             conn.open = False
             self.queue.at(self.queue.now + HOP, conn.end, None)
-
-
--- a/martenrouter/lab/emulator/people.py
+++ b/martenrouter/lab/emulator/people.py
@@ -1,4 +1,5 @@
 """Clients in virtual time: what standins/clients.py does with greenlets, told as events. The same draws, the same records."""
+
 import msgspec
 
 from martenrouter.lab.emulator.engines import HOP
@@ -35,8 +36,22 @@
 
 class Ask:
     """One arrival with all its tries."""
-    __slots__ = ("arrival", "group", "deadline", "attempt", "front", "trace", "link", "id", "texts", "params", "answered", "began",
-                 "first")
+
+    __slots__ = (
+        "arrival",
+        "group",
+        "deadline",
+        "attempt",
+        "front",
+        "trace",
+        "link",
+        "id",
+        "texts",
+        "params",
+        "answered",
+        "began",
+        "first",
+    )
 
     def __init__(self, arrival, group, deadline):
         self.arrival, self.group, self.deadline = arrival, group, deadline
@@ -66,7 +81,9 @@
     def _arrive(self, due):
         arrival = self.arrivals.arrival()
         self._next(due)
-        ask = Ask(arrival, self.groups[arrival.group], self.traffic.deadline_ms / (10 if arrival.early else 1))
+        ask = Ask(
+            arrival, self.groups[arrival.group], self.traffic.deadline_ms / (10 if arrival.early else 1)
+        )
         arrival.session.messages.append({"role": "user", "content": arrival.text})
         self.open += 1
         self._try(ask)
@@ -101,9 +118,18 @@
         link.last += 1
         ask.id = link.last
         link.asks[ask.id], link.traces[ask.id] = ask, ask.trace
-        self.record("req_out", trace=ask.trace, front=ask.front, conn=link.id, id=ask.id, group=ask.group["name"],
-                    deadline_ms=ask.deadline, messages=ask.params["messages"], max_tokens=ask.params["max_tokens"],
-                    tools=self.traffic.tools)
+        self.record(
+            "req_out",
+            trace=ask.trace,
+            front=ask.front,
+            conn=link.id,
+            id=ask.id,
+            group=ask.group["name"],
+            deadline_ms=ask.deadline,
+            messages=ask.params["messages"],
+            max_tokens=ask.params["max_tokens"],
+            tools=self.traffic.tools,
+        )
         self.world.asked(ask)
         link.send("generate", ask.id, ask.params)
         if leave:
@@ -174,7 +200,9 @@
             link.open = False
             for ask in list(link.asks.values()):
                 if ask.trace not in self.left:
-                    self.record("conn_lost", trace=ask.trace, front=ask.front, conn=link.id, why="closed by the front")
+                    self.record(
+                        "conn_lost", trace=ask.trace, front=ask.front, conn=link.id, why="closed by the front"
+                    )
                 self._ended(ask, None)
             return
         message = _decode(data)
@@ -191,16 +219,26 @@
             self._call(link, message)
         elif method == "tools/failed":
             told = message["params"]
-            self.record("call_failed", trace=link.traces.get(told["id"]), call=told["call"], reason=told["reason"])
+            self.record(
+                "call_failed", trace=link.traces.get(told["id"]), call=told["call"], reason=told["reason"]
+            )
         elif method is None:
             error = message.get("error") or {}
             result = message.get("result") if isinstance(message.get("result"), dict) else {}
             told = error.get("data") or {}
             ending = ENDINGS.get(error.get("code"), "error" if error else "done")
-            self.record("final_in", conn=link.id, id=message.get("id"), trace=link.traces.get(message.get("id")), ending=ending,
-                        code=error.get("code"), reason=told.get("reason") or error.get("message"),
-                        return_after_ms=told.get("return_after_ms"), tokens=result.get("tokens"),
-                        finish=result.get("finish_reason"))
+            self.record(
+                "final_in",
+                conn=link.id,
+                id=message.get("id"),
+                trace=link.traces.get(message.get("id")),
+                ending=ending,
+                code=error.get("code"),
+                reason=told.get("reason") or error.get("message"),
+                return_after_ms=told.get("return_after_ms"),
+                tokens=result.get("tokens"),
+                finish=result.get("finish_reason"),
+            )
             ask = link.asks.get(message.get("id"))
             if ask is not None and not ask.answered:
                 self._ended(ask, message)
@@ -210,13 +248,28 @@
         meta = told["_meta"]
         trace = link.traces.get(meta["generate"])
         key = trace, meta["call"]
-        self.record("call_in", conn=link.id, trace=trace, rpc=message["id"], call=meta["call"], name=told["name"],
-                    arguments=told["arguments"], again=meta.get("again", False))
+        self.record(
+            "call_in",
+            conn=link.id,
+            trace=trace,
+            rpc=message["id"],
+            call=meta["call"],
+            name=told["name"],
+            arguments=told["arguments"],
+            again=meta.get("again", False),
+        )
         takes = 0.0
         if key not in self.ran:
             self.ran[key], silent, takes = tool_run(trace, told["arguments"], self.traffic)
-            self.record("tool_ran", trace=trace, call=meta["call"], name=told["name"], arguments=told["arguments"],
-                        text=self.ran[key], repeatable=not told["name"].startswith("set"))
+            self.record(
+                "tool_ran",
+                trace=trace,
+                call=meta["call"],
+                name=told["name"],
+                arguments=told["arguments"],
+                text=self.ran[key],
+                repeatable=not told["name"].startswith("set"),
+            )
             if silent:
                 return
         self.queue.at(self.queue.now + int(takes * 1e6), self._answer_call, link, message["id"], key)
@@ -224,4 +277,7 @@
     def _answer_call(self, link, rpc_id, key):
         self.record("call_answered", trace=key[0], call=key[1])
         if link.open:
-            link.send("answered", jsonrpc.Answer(rpc_id, {"content": [{"type": "text", "text": self.ran[key]}]}, None))
+            link.send(
+                "answered",
+                jsonrpc.Answer(rpc_id, {"content": [{"type": "text", "text": self.ran[key]}]}, None),
+            )
--- a/martenrouter/lab/emulator/policies.py
+++ b/martenrouter/lab/emulator/policies.py
@@ -1,6 +1,7 @@
 """Decisions that can be played: as built, and baselines. A baseline is the same chain and module with one choice replaced, so that
 the rules are kept alike and only that choice is compared; none of them is offered to a running front.
 """
+
 import random
 from zlib import crc32
 
@@ -29,8 +30,12 @@
         if not engines:
             return None, pace.expect(front.now, r.prompt), 0
         engine = pick(front, sorted(engines, key=lambda e: e.id), front.pending, r)
-        return (engine, pace.expect(front.now, front.cost(engine, r)),
-                pace.expect(front.now, front.pending(engine) + front.cost(engine, r)))
+        return (
+            engine,
+            pace.expect(front.now, front.cost(engine, r)),
+            pace.expect(front.now, front.pending(engine) + front.cost(engine, r)),
+        )
+
     return pick_reader
 
 
@@ -39,6 +44,7 @@
         if not able:
             return None
         return pick(front, sorted(able, key=lambda e: e.id), lambda e: e.streams, r)
+
     return pick_writer
 
 
@@ -96,8 +102,14 @@
 
 def no_credit(seed, module, settings):
     """States move as soon as they are read; the writer is drawn without regard to room or links."""
-    return _replaced(seed, module, settings, has_credit=lambda front, r, link: True, room=lambda front, engine: float("inf"),
-                     pick_writer=_writer(_random))
+    return _replaced(
+        seed,
+        module,
+        settings,
+        has_credit=lambda front, r, link: True,
+        room=lambda front, engine: float("inf"),
+        pick_writer=_writer(_random),
+    )
 
 
 def unlimited_window(seed, module, settings):
@@ -105,5 +117,13 @@
     return _replaced(seed, module, settings, has_credit=lambda front, r, link: True)
 
 
-POLICIES = {"as-built": as_built, "random": random_choice, "round-robin": round_robin, "least-pending": least_pending,
-            "two-choices": two_choices, "prefix-hash": prefix_hash, "no-credit": no_credit, "unlimited-window": unlimited_window}
+POLICIES = {
+    "as-built": as_built,
+    "random": random_choice,
+    "round-robin": round_robin,
+    "least-pending": least_pending,
+    "two-choices": two_choices,
+    "prefix-hash": prefix_hash,
+    "no-credit": no_credit,
+    "unlimited-window": unlimited_window,
+}
--- a/martenrouter/lab/emulator/world.py
+++ b/martenrouter/lab/emulator/world.py
@@ -3,6 +3,7 @@
 The same for a seed, to the byte: all chance comes from generators seeded by the day's name and seed, all time from the queue. One
 process plays one day; the process lives in the day's time (edge/clock.py), so days are not mixed in one process.
 """
+
 import random
 
 import msgspec
@@ -18,7 +19,7 @@
 from martenrouter.wire import nodes
 
 WALL = 1_700_000_000_000_000  # the wall time at which each day begins, in microseconds
-BEGIN = 10_000_000            # the monotonic one: not nothing, as on no machine
+BEGIN = 10_000_000  # the monotonic one: not nothing, as on no machine
 SAME_EACH = 1_000_000
 SLOWER = {"reset_after", "stall_after"}
 
@@ -27,11 +28,11 @@
     """What came of a day, one row a try: what reports and comparisons are made of. Times in microseconds of the day."""
 
     def __init__(self):
-        self.tries = []   # [asked, first token or None, ended, ending, group, front, attempt, customer]
-        self.loads = []   # (time, [(engine, reqs held, share of memory held)]), each second
-        self.links = []   # (time, [(cell and way, prompt tokens out on it over all fronts)]), each second
+        self.tries = []  # [asked, first token or None, ended, ending, group, front, attempt, customer]
+        self.loads = []  # (time, [(engine, reqs held, share of memory held)]), each second
+        self.links = []  # (time, [(cell and way, prompt tokens out on it over all fronts)]), each second
         self.deciders = []  # (time, fronts decided by their planner, fronts decided by their edge), each second
-        self.open = {}    # trace -> row that has no end yet
+        self.open = {}  # trace -> row that has no end yet
 
 
 class World:
@@ -52,15 +53,21 @@
         self.listing, self.subscribers, self.entries = Listing(1, int(scenario.list_late_ms * 1000)), [], {}
         for i in range(scenario.fronts):
             name = "front-%d" % i
-            self.told[name] = fleet.front_settings(scenario, seed, i, "127.0.0.1:1", self.specs, list={"service": "127.0.0.1:1"})
+            self.told[name] = fleet.front_settings(
+                scenario, seed, i, "127.0.0.1:1", self.specs, list={"service": "127.0.0.1:1"}
+            )
         release = self.told["front-0"].get("limits", {}).get("release_within_ms", 300)
-        self.record("driver", "scenario", **fleet.told_to_judge(scenario, seed, self.specs, int(release * 1000)))
+        self.record(
+            "driver", "scenario", **fleet.told_to_judge(scenario, seed, self.specs, int(release * 1000))
+        )
         for id, spec in self.specs.items():
             self.engines[id] = Engine(self, spec)
         self._list([self._entry(id, "up") for id in self.specs])
         for name in self.told:
             self._start_front(name, None)
-        self.people = People(self, scenario.traffic, self.groups, random.Random("%s %s traffic" % (scenario.name, seed)))
+        self.people = People(
+            self, scenario.traffic, self.groups, random.Random("%s %s traffic" % (scenario.name, seed))
+        )
 
     def wall(self):
         return WALL + self.jumped + self.queue.now
@@ -97,9 +104,19 @@
         return self.day
 
     def _look(self):
-        self.day.loads.append((self.queue.now - self.start, [
-            (id, len(engine.model.jobs) if engine.alive else -1, round(engine.model.held() / engine.spec.memory_tokens, 3))
-            for id, engine in self.engines.items()]))
+        self.day.loads.append(
+            (
+                self.queue.now - self.start,
+                [
+                    (
+                        id,
+                        len(engine.model.jobs) if engine.alive else -1,
+                        round(engine.model.held() / engine.spec.memory_tokens, 3),
+                    )
+                    for id, engine in self.engines.items()
+                ],
+            )
+        )
         links, who = {}, [0, 0]
         for front in self.fronts.values():
             who[front.desk.who() == "edge"] += front.alive
@@ -114,8 +131,18 @@
 
     def asked(self, ask):
         self.day.open[ask.trace] = len(self.day.tries)
-        self.day.tries.append([self.queue.now - self.start, None, None, "open", ask.group["name"], ask.front, ask.attempt,
-                               ask.arrival.customer])
+        self.day.tries.append(
+            [
+                self.queue.now - self.start,
+                None,
+                None,
+                "open",
+                ask.group["name"],
+                ask.front,
+                ask.attempt,
+                ask.arrival.customer,
+            ]
+        )
 
     def answered(self, ask, answer):
         at = self.day.open.pop(ask.trace, None)
@@ -124,8 +151,13 @@
         row = self.day.tries[at]
         row[1] = None if ask.first is None else ask.first - self.start
         row[2] = self.queue.now - self.start
-        row[3] = ("no answer" if answer is None else "done" if "result" in answer else
-                  (answer["error"].get("data") or {}).get("ending", "error"))
+        row[3] = (
+            "no answer"
+            if answer is None
+            else "done"
+            if "result" in answer
+            else (answer["error"].get("data") or {}).get("ending", "error")
+        )
 
     # ---- ways between them ----
 
@@ -149,7 +181,9 @@
     def subscribe(self, roster, link, epoch, version):
         at = version if epoch == self.listing.epoch else -1
         subscriber = [roster, link, at]
-        self.subscribers = [one for one in self.subscribers if one[0] is not roster and not one[0].dead] + [subscriber]
+        self.subscribers = [one for one in self.subscribers if one[0] is not roster and not one[0].dead] + [
+            subscriber
+        ]
         self._push(subscriber)
         self.queue.at(self.queue.now + SAME_EACH, self._same, subscriber)
 
@@ -159,15 +193,24 @@
             return
         told, subscriber[2] = self.listing.news(self.queue.now, at)
         if told is not None:
-            self.record("list", "list_out", front=roster.name, epoch=told.epoch, version=told.version, scope=told.scope,
-                        entries=[(entry.id, entry.phase, entry.start) for entry in told.entries])
+            self.record(
+                "list",
+                "list_out",
+                front=roster.name,
+                epoch=told.epoch,
+                version=told.version,
+                scope=told.scope,
+                entries=[(entry.id, entry.phase, entry.start) for entry in told.entries],
+            )
             self.queue.at(self.queue.now + HOP, roster.told, link, told)
 
     def _same(self, subscriber):
         roster, link, at = subscriber
         if roster.link == link and not roster.dead:
             if not self.listing.silent and self.listing.next_due(self.queue.now) is None:
-                self.queue.at(self.queue.now + HOP, roster.told, link, nodes.Told("same", self.listing.epoch, at))
+                self.queue.at(
+                    self.queue.now + HOP, roster.told, link, nodes.Told("same", self.listing.epoch, at)
+                )
             self._push(subscriber)
             self.queue.at(self.queue.now + SAME_EACH, self._same, subscriber)
 
@@ -287,7 +330,9 @@
         left = int(fault.length / 0.5) * 2 if left is None else left
         self._list([self._entry(id, phase if left else "up", self.engines[id].spec.start) for id in hit])
         if left:
-            self._after(0.25, self._list_flap, fault, hit, "up" if phase == "draining" else "draining", left - 1)
+            self._after(
+                0.25, self._list_flap, fault, hit, "up" if phase == "draining" else "draining", left - 1
+            )
 
     def _front_roll(self, fault, hit, left=None):
         """Each front is stopped in order and started again, one after the other."""
--- a/martenrouter/lab/load.py
+++ b/martenrouter/lab/load.py
@@ -3,6 +3,7 @@
 A req is due when the profile says so, whether or not earlier ones were answered, and its times count from then: a tool that falls
 behind shows it (`slip`) and doesn't make the front look quicker than its clients would find it.
 """
+
 import json
 import os
 import random
@@ -23,9 +24,14 @@
 from martenrouter.wire import engine as wire
 from martenrouter.wire import http
 
-NAMES = ("slip", "first", "gap", "whole")  # due to sent, due to first token, between tokens, due to final answer; microseconds
-OVER = 5       # seconds after the last deadline at which what is open counts as unanswered
-SPIN = 1300    # microseconds: timers of the loop are a millisecond late; the last one is waited for by looking
+NAMES = (
+    "slip",
+    "first",
+    "gap",
+    "whole",
+)  # due to sent, due to first token, between tokens, due to final answer; microseconds
+OVER = 5  # seconds after the last deadline at which what is open counts as unanswered
+SPIN = 1300  # microseconds: timers of the loop are a millisecond late; the last one is waited for by looking
 COLUMNS = ("due", "slip", "first", "whole", "tokens", "mix", "ending")
 
 
@@ -77,7 +83,10 @@
         self.endings, self.rows, self.open = {}, [], 0
         self.sessions = [[None] * mix.sessions for mix in self.profile.mixes]
         shared = random.Random(self.profile.seed)
-        self.openings = [[self._words(shared, mix.opening_words) for _ in range(mix.openings)] for mix in self.profile.mixes]
+        self.openings = [
+            [self._words(shared, mix.opening_words) for _ in range(mix.openings)]
+            for mix in self.profile.mixes
+        ]
         self.clients, self.straight, self.turn = {}, Straight(), 0
 
     @staticmethod
@@ -112,16 +121,22 @@
 
     def _prompt(self):
         """(number of the mix, mix, session's name, messages) of the next req."""
-        number = self.random.choices(range(len(self.profile.mixes)), [mix.weight for mix in self.profile.mixes])[0]
+        number = self.random.choices(
+            range(len(self.profile.mixes)), [mix.weight for mix in self.profile.mixes]
+        )[0]
         mix, sessions = self.profile.mixes[number], self.sessions[number]
         place = self.random.randrange(len(sessions))
         kept = sessions[place]
         if kept is None or len(kept[1]) > 2 * mix.turns - 1:
             self.turn += 1
-            kept = sessions[place] = ("w%d-%d" % (self.told["worker"], self.turn),
-                                      [{"role": "system", "content": self.random.choice(self.openings[number])}])
+            kept = sessions[place] = (
+                "w%d-%d" % (self.told["worker"], self.turn),
+                [{"role": "system", "content": self.random.choice(self.openings[number])}],
+            )
         elif len(kept[1]) > 1:
-            kept[1].append({"role": "assistant", "content": self._words(self.random, mix.max_tokens // 2 + 1)})
+            kept[1].append(
+                {"role": "assistant", "content": self._words(self.random, mix.max_tokens // 2 + 1)}
+            )
         kept[1].append({"role": "user", "content": self._words(self.random, mix.turn_words)})
         return number, mix, kept[0], list(kept[1])
 
@@ -141,8 +156,11 @@
                 self.figures["gap"].record_value(max(now - last[0], 1))
             last[0] = now
             row[4] += len(texts)
+
         try:
-            row[6] = (self._front if self.told.get("fronts") else self._engines)(mix, session, messages, tokens)
+            row[6] = (self._front if self.told.get("fronts") else self._engines)(
+                mix, session, messages, tokens
+            )
         except gevent.GreenletExit:
             pass
         except (OSError, Left, gevent.Timeout, http.BadBytes, wire.BadAnswer, ValueError) as why:
@@ -162,7 +180,12 @@
         client = self.clients.get(key)
         if client is None or not client.open:
             client = self.clients[key] = Client(tuple(front))
-        params = {"messages": messages, "session": session, "max_tokens": mix.max_tokens, "deadline_ms": mix.deadline_ms}
+        params = {
+            "messages": messages,
+            "session": session,
+            "max_tokens": mix.max_tokens,
+            "deadline_ms": mix.deadline_ms,
+        }
         for name in ("group", "customer"):
             if getattr(mix, name):
                 params[name] = getattr(mix, name)
@@ -179,18 +202,29 @@
         writer = self.told["writers"][self.turn % len(self.told["writers"])]
         name, body = "load-%d-%d-%d" % (os.getpid(), self.told["worker"], self.turn), []
         trace = "00-%s-%s-01" % (os.urandom(16).hex(), os.urandom(8).hex())
-        status = self.straight.call(reader, wire.read("engine", name + "r", trace, self.told["model"], messages), body.append)
+        status = self.straight.call(
+            reader, wire.read("engine", name + "r", trace, self.told["model"], messages), body.append
+        )
         if status != 200:
             return "status %d" % status
         state, events, index = wire.read_answer(b"".join(body)).kv_transfer_params, wire.Events(), [0]
 
         def hear(data):
             for piece in events.feed(data):
-                texts = [choice.delta.content for choice in piece.choices if choice.delta.content] if piece else []
+                texts = (
+                    [choice.delta.content for choice in piece.choices if choice.delta.content]
+                    if piece
+                    else []
+                )
                 if texts:
                     tokens(index[0], texts)
                     index[0] += len(texts)
-        status = self.straight.call(writer, wire.write("engine", name + "w", trace, self.told["model"], messages, mix.max_tokens, state), hear)
+
+        status = self.straight.call(
+            writer,
+            wire.write("engine", name + "w", trace, self.told["model"], messages, mix.max_tokens, state),
+            hear,
+        )
         return "done" if status == 200 else "status %d" % status
 
 
@@ -202,19 +236,33 @@
     def say(**fields):
         sys.stdout.write(json.dumps(fields) + "\n")
         sys.stdout.flush()
-    one.run(lambda: say(asked=len(one.rows), open=one.open, done=one.endings.get("done", 0),
-                        p99=one.figures["first"].get_value_at_percentile(99), slip=one.figures["slip"].get_value_at_percentile(99)))
+
+    one.run(
+        lambda: say(
+            asked=len(one.rows),
+            open=one.open,
+            done=one.endings.get("done", 0),
+            p99=one.figures["first"].get_value_at_percentile(99),
+            slip=one.figures["slip"].get_value_at_percentile(99),
+        )
+    )
     with open(told["rows"], "wb") as file:
         file.write(zlib.compress(msgspec.msgpack.encode(one.rows), 1))
-    say(end=True, asked=len(one.rows), endings=one.endings, **{name: one.figures[name].encode().decode() for name in NAMES})
+    say(
+        end=True,
+        asked=len(one.rows),
+        endings=one.endings,
+        **{name: one.figures[name].encode().decode() for name in NAMES},
+    )
 
 
 class Result(msgspec.Struct):
     """All workers together. `figures`: name -> HdrHistogram of microseconds."""
+
     asked: int
     endings: dict
     figures: dict
-    lost: int   # workers that ended without their figures
+    lost: int  # workers that ended without their figures
 
 
 def run(profile, target, workers, raw=None, progress=lambda told: None):
@@ -224,10 +272,22 @@
         popens, files = [], []
         for i in range(workers):
             files.append(os.path.join(directory, "rows-%d" % i))
-            popen = subprocess.Popen([sys.executable, "-m", "martenrouter", "load", "--worker"], stdin=subprocess.PIPE,
-                                     stdout=subprocess.PIPE)
-            popen.stdin.write(msgspec.json.encode({"profile": msgspec.to_builtins(profile), "worker": i, "workers": workers,
-                                                   "rows": files[i], **target}))
+            popen = subprocess.Popen(
+                [sys.executable, "-m", "martenrouter", "load", "--worker"],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+            )
+            popen.stdin.write(
+                msgspec.json.encode(
+                    {
+                        "profile": msgspec.to_builtins(profile),
+                        "worker": i,
+                        "workers": workers,
+                        "rows": files[i],
+                        **target,
+                    }
+                )
+            )
             popen.stdin.close()
             popens.append(popen)
         last, whole = [None] * workers, [None] * workers
@@ -235,6 +295,7 @@
         def listen(i):
             for line in gevent.get_hub().threadpool.apply(_lines, (popens[i], last, i, progress)):
                 whole[i] = line
+
         gevent.joinall([gevent.spawn(listen, i) for i in range(workers)])
         for popen in popens:
             popen.wait()
@@ -275,8 +336,14 @@
                 rows += msgspec.msgpack.decode(zlib.decompress(file.read()))
     rows.sort(key=lambda row: row[0])
     columns = [zlib.compress(msgspec.msgpack.encode([row[i] for row in rows])) for i in range(len(COLUMNS))]
-    head = msgspec.json.encode({"rows": len(rows), "columns": COLUMNS, "bytes": [len(column) for column in columns],
-                                "profile": msgspec.to_builtins(profile)})
+    head = msgspec.json.encode(
+        {
+            "rows": len(rows),
+            "columns": COLUMNS,
+            "bytes": [len(column) for column in columns],
+            "profile": msgspec.to_builtins(profile),
+        }
+    )
     with open(path + ".new", "wb") as file:
         file.write(b"marten-load-1\n" + head + b"\n" + b"".join(columns))
     os.replace(path + ".new", path)
--- a/martenrouter/lab/processes.py
+++ b/martenrouter/lab/processes.py
@@ -1,4 +1,5 @@
 """Programs started for a rehearsal, each a process of its own, all ended with it however it ends."""
+
 import os
 import signal
 import subprocess
@@ -39,8 +40,12 @@
 
     def start(self):
         with open(self.log, "ab") as log:
-            self.popen = subprocess.Popen([*self.command, *self.arguments, "--with-stdin"], stdin=subprocess.PIPE,
-                                          stdout=log, stderr=log)
+            self.popen = subprocess.Popen(
+                [*self.command, *self.arguments, "--with-stdin"],
+                stdin=subprocess.PIPE,
+                stdout=log,
+                stderr=log,
+            )
 
     def kill(self):
         if self.popen and self.popen.poll() is None:
@@ -77,4 +82,6 @@
                 gevent.sleep(0.02)
         with open(self.log, encoding="utf-8", errors="replace") as log:
             said = log.read()[-600:]
-        raise OSError("%s does not listen on %s:%d: %s" % (self.name, *address, said.strip() or "it said nothing"))
+        raise OSError(
+            "%s does not listen on %s:%d: %s" % (self.name, *address, said.strip() or "it said nothing")
+        )
