--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,34 +15,60 @@
 
 class Engines(unittest.TestCase):
     def test_which_status_proves_that_nothing_ran(self):
-        for head, ending in ((Head(429), ("full", 0)), (Head(412), ("full", 1)), (Head(503), ("error", 0)),
-                             (Head(503, x_not_run="1"), ("full", 0)), (Head(500, x_not_run="1"), ("error", 0)),
-                             (Head(404), ("error", 0)), (Head(302), ("error", 0))):
+        for head, ending in (
+            (Head(429), ("full", 0)),
+            (Head(412), ("full", 1)),
+            (Head(503), ("error", 0)),
+            (Head(503, x_not_run="1"), ("full", 0)),
+            (Head(500, x_not_run="1"), ("error", 0)),
+            (Head(404), ("error", 0)),
+            (Head(302), ("error", 0)),
+        ):
             self.assertEqual(engine.ending_of(head), ending, head.status)
 
     def test_load_reports(self):
-        for text, load in (('JSON {"named_metrics":{"kv_cache_usage":0.5,"inflight":3}}', {"memory_share": 0.5, "reqs_held": 3}),
-                           ("TEXT named_metrics.kv_cache_usage=0.25, inflight=2", {"memory_share": 0.25, "reqs_held": 2}),
-                           ('JSON {"cpu_utilization":0.7}', {"share_busy": 0.7}), ("JSON {", None), ("BIN abc", None),
-                           ("JSON 5", None), ('JSON {"named_metrics":{"inflight":"many"}}', None), ("TEXT a", None),
-                           ('JSON {"named_metrics":{"inflight":-1}}', None), ("", None), ("TEXT inflight=nan", None)):
+        for text, load in (
+            (
+                'JSON {"named_metrics":{"kv_cache_usage":0.5,"inflight":3}}',
+                {"memory_share": 0.5, "reqs_held": 3},
+            ),
+            ("TEXT named_metrics.kv_cache_usage=0.25, inflight=2", {"memory_share": 0.25, "reqs_held": 2}),
+            ('JSON {"cpu_utilization":0.7}', {"share_busy": 0.7}),
+            ("JSON {", None),
+            ("BIN abc", None),
+            ("JSON 5", None),
+            ('JSON {"named_metrics":{"inflight":"many"}}', None),
+            ("TEXT a", None),
+            ('JSON {"named_metrics":{"inflight":-1}}', None),
+            ("", None),
+            ("TEXT inflight=nan", None),
+        ):
             self.assertEqual(engine.load_of({"endpoint-load-metrics": text}), load, text)
         name, value = engine.load_header(0.5, 2, 1)
-        self.assertEqual(engine.load_of({name: value}), {"memory_share": 0.5, "reqs_held": 2, "reqs_queued": 1})
+        self.assertEqual(
+            engine.load_of({name: value}), {"memory_share": 0.5, "reqs_held": 2, "reqs_queued": 1}
+        )
 
     @given(st.lists(st.text(max_size=20), min_size=1, max_size=8), st.integers(1, 40))
     @hyp(max_examples=150, deadline=None)
     def test_events_are_the_same_however_they_are_cut(self, texts, cut):
         stream = b": comment\r\n\r\n" + b"".join(
-            b"data: " + json.dumps({"choices": [{"delta": {"content": text}}]}).encode() + b"\n\n" for text in texts)
+            b"data: " + json.dumps({"choices": [{"delta": {"content": text}}]}).encode() + b"\n\n"
+            for text in texts
+        )
         stream += b"data: [DONE]\n\n"
         events, pieces = engine.Events(), []
         for at in range(0, len(stream), cut):
-            pieces += events.feed(stream[at:at + cut])
+            pieces += events.feed(stream[at : at + cut])
         self.assertEqual([piece and piece.choices[0].delta.content for piece in pieces], texts + [None])
 
     def test_endless_and_bad_events(self):
-        for data in (b"data: " + b"x" * 300_000, b"data: {]\n\n", b'data: {"choices": 3}\n\n', b"data: \xff\n\n"):
+        for data in (
+            b"data: " + b"x" * 300_000,
+            b"data: {]\n\n",
+            b'data: {"choices": 3}\n\n',
+            b"data: \xff\n\n",
+        ):
             with self.assertRaises(engine.BadAnswer):
                 engine.Events().feed(data)
         for body in (b"", b"{}", b'{"kv_transfer_params": 4}', b"\xff"):
@@ -52,8 +78,12 @@
     @given(st.binary(max_size=400))
     @hyp(max_examples=300, deadline=None)
     def test_any_bytes_give_events_or_a_plain_error(self, data):
-        for reader, error in ((http.ResponseReader(), http.BadBytes), (http.RequestReader(), http.BadBytes),
-                              (engine.Events(), engine.BadAnswer), (nodes.Lines(100), nodes.BadLine)):
+        for reader, error in (
+            (http.ResponseReader(), http.BadBytes),
+            (http.RequestReader(), http.BadBytes),
+            (engine.Events(), engine.BadAnswer),
+            (nodes.Lines(100), nodes.BadLine),
+        ):
             try:
                 reader.feed(data)
             except error:
@@ -65,9 +95,17 @@
 
 
 class Clients(unittest.TestCase):
-    @given(st.recursive(st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=8),
-                        lambda inner: st.lists(inner, max_size=4) | st.dictionaries(
-                            st.sampled_from(["jsonrpc", "id", "method", "params", "result"]), inner, max_size=5)))
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=8),
+            lambda inner: (
+                st.lists(inner, max_size=4)
+                | st.dictionaries(
+                    st.sampled_from(["jsonrpc", "id", "method", "params", "result"]), inner, max_size=5
+                )
+            ),
+        )
+    )
     @hyp(max_examples=300, deadline=None)
     def test_any_json_is_a_message_or_an_error(self, value):
         items, _ = jsonrpc.parse(json.dumps(value))
@@ -77,21 +115,35 @@
                 self.assertIn("error", json.loads(item.bytes))
 
     def test_params_are_checked_with_the_place_named(self):
-        cases = (({"prompt": "x", "max_tokens": 0}, "max_tokens"), ({"prompt": "x", "messages": []}, "one of"),
-                 ({"messages": []}, "messages"), ({"messages": [{"role": 5}]}, "messages[0].role"),
-                 ({"prompt": "x", "trace": "00-xyz"}, "trace"), ({"prompt": "x", "session": ""}, "session"), ([], "object"))
+        cases = (
+            ({"prompt": "x", "max_tokens": 0}, "max_tokens"),
+            ({"prompt": "x", "messages": []}, "one of"),
+            ({"messages": []}, "messages"),
+            ({"messages": [{"role": 5}]}, "messages[0].role"),
+            ({"prompt": "x", "trace": "00-xyz"}, "trace"),
+            ({"prompt": "x", "session": ""}, "session"),
+            ([], "object"),
+        )
         for params, says in cases:
-            with self.subTest(params=params), self.assertRaisesRegex(jsonrpc.BadParams, says.replace("[", r"\[")):
+            with (
+                self.subTest(params=params),
+                self.assertRaisesRegex(jsonrpc.BadParams, says.replace("[", r"\[")),
+            ):
                 jsonrpc.generate(params)
 
 
 class Lists(unittest.TestCase):
     def test_lines_that_are_none(self):
         entry = {"id": "a", "phase": "up", "address": "h:1"}
-        for told in ({"scope": "some", "epoch": 1, "version": 1}, {"scope": "whole", "epoch": "x", "version": 1},
-                     {"scope": "whole", "epoch": 1, "version": 1, "entries": [{**entry, "phase": "off"}]},
-                     {"scope": "whole", "epoch": 1, "version": 1, "entries": [{**entry, "address": "h:0"}]},
-                     {"scope": "whole", "epoch": 1, "version": 1, "entries": [{**entry, "colour": 1}]}, [], 5):
+        for told in (
+            {"scope": "some", "epoch": 1, "version": 1},
+            {"scope": "whole", "epoch": "x", "version": 1},
+            {"scope": "whole", "epoch": 1, "version": 1, "entries": [{**entry, "phase": "off"}]},
+            {"scope": "whole", "epoch": 1, "version": 1, "entries": [{**entry, "address": "h:0"}]},
+            {"scope": "whole", "epoch": 1, "version": 1, "entries": [{**entry, "colour": 1}]},
+            [],
+            5,
+        ):
             with self.assertRaises(nodes.BadLine):
                 nodes.told(json.dumps(told).encode())
         with self.assertRaises(nodes.BadLine):
@@ -107,7 +159,9 @@
         return events
 
     def job(self, id, kind, tokens, answer=4, opening="o"):
-        chain = answers.chain_of([{"role": "system", "content": opening * 400}, {"role": "user", "content": id * 4 * tokens}])
+        chain = answers.chain_of(
+            [{"role": "system", "content": opening * 400}, {"role": "user", "content": id * 4 * tokens}]
+        )
         return Job(id, kind, chain, answer)
 
     def test_a_read_waits_until_it_is_fetched_and_kept_text_makes_the_next_one_quick(self):
