--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -53,7 +53,8 @@
                 plain[name] = plain.get(name, 0) + 340
         plainly = time.perf_counter() - began
         print(
-            "%7d customers: reserve, a correction and settle %.1f us a req; one count in a dictionary %.2f us, ratio %.0f"
+            "%7d customers: reserve, a correction and settle %.1f us a req; one count in a dictionary %.2f "
+            "us, ratio %.0f"
             % (customers, took * 1e6 / len(picks), plainly * 1e6 / len(picks), took / plainly),
             flush=True,
         )
@@ -84,7 +85,8 @@
         gone.discard(i)
     on_heap = time.perf_counter() - began
     print(
-        "%d reservations, nine of ten settled: wheel %.2f us each, heap %.2f us, ratio %.2f; left behind by what was taken: wheel 0, "
+        "%d reservations, nine of ten settled: wheel %.2f us each, heap %.2f us, ratio %.2f; left behind "
+        "by what was taken: wheel 0, "
         "heap all until their time"
         % (count, on_wheel * 1e6 / count, on_heap * 1e6 / count, on_wheel / on_heap)
     )
@@ -97,7 +99,8 @@
     for name in names:
         plain[name] = plain.get(name, 0) + 10
     print(
-        "who is heavy, %d names: 256 kept %.2f us each, dictionary of all %.2f us; the ten heaviest of both alike: %d of 10"
+        "who is heavy, %d names: 256 kept %.2f us each, dictionary of all %.2f us; the ten heaviest of "
+        "both alike: %d of 10"
         % (
             len(plain),
             sketched * 1e6 / count,
@@ -126,7 +129,8 @@
 
 
 def ledger(count=40_000):
-    """Entries a second in groups of several sizes, against the store's own limit: as many bare values in as many transactions."""
+    """Entries a second in groups of several sizes, against the store's own limit: as many bare values in as
+    many transactions."""
     for group in (1, 16, 256):
         told = count if group > 1 else 2000
         holder = tempfile.mkdtemp()
--- a/bench/conversations.py
+++ b/bench/conversations.py
@@ -1,8 +1,10 @@
-"""Conversations that pause for tools while writers hang: as built, against two plainer ways; and what a pause costs.
+"""Conversations that pause for tools while writers hang: as built, against two plainer ways; and what a pause
+costs.
 
     python -m bench.conversations [--seeds 2] [--paused 1000]
 
-All engines are stand-ins; all processes share one machine. The share is of conversations done within four seconds.
+All engines are stand-ins; all processes share one machine. The share is of conversations done within four
+seconds.
 """
 
 import os
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -80,7 +80,8 @@
 
 
 def a_round(engines, started, waiting, rounds=60):
-    """Microseconds of a round with one arrival and one outcome, at so many engines, begun answers and reqs that wait for theirs."""
+    """Microseconds of a round with one arrival and one outcome, at so many engines, begun answers and reqs
+    that wait for theirs."""
     told = settings_of.check(
         {
             "fronts": 20,
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -1,6 +1,8 @@
-"""A stand-in engine for measurements: each answer keeps its own even pace, so that what is seen is what the front adds.
+"""A stand-in engine for measurements: each answer keeps its own even pace, so that what is seen is what the
+front adds.
 
-The stand-ins' model moves in steps that all answers share; a first token then waits up to a step, which hides milliseconds.
+The stand-ins' model moves in steps that all answers share; a first token then waits up to a step, which hides
+milliseconds.
 """
 
 import sys
--- a/bench/front.py
+++ b/bench/front.py
@@ -1,9 +1,10 @@
-"""What a front adds: the same load through it and straight to the same stand-in engines, one after the other in one run.
+"""What a front adds: the same load through it and straight to the same stand-in engines, one after the other
+in one run.
 
     python -m bench.front [--rate 130] [--seconds 20] [--rates 130,200,…] [--minutes 10] [--idle 10000]
 
-Prints milliseconds and ratios; all engines are stand-ins and all processes share one machine, so that the figures tell
-what the front costs, not what a fleet would answer.
+Prints milliseconds and ratios; all engines are stand-ins and all processes share one machine, so that the
+figures tell what the front costs, not what a fleet would answer.
 """
 
 import json
@@ -178,7 +179,8 @@
         direct, front = fleet.load("direct", rate, seconds), fleet.load("front", rate, seconds)
         for name, run in (("direct", direct), ("front", front)):
             print(
-                "%-7s %4.0f/s: done %d of %d %s; first token ms p50 %.2f p99 %.2f; between tokens p50 %.2f p99 %.2f"
+                "%-7s %4.0f/s: done %d of %d %s; first token ms p50 %.2f p99 %.2f; between tokens p50 %.2f "
+                "p99 %.2f"
                 % (
                     name,
                     rate,
@@ -192,7 +194,8 @@
                 )
             )
         print(
-            "added: first token p50 %.2f ms, p99 %.2f ms; between tokens p50 %.2f, p99 %.2f; ratio of first tokens p50 %.2f"
+            "added: first token p50 %.2f ms, p99 %.2f ms; between tokens p50 %.2f, p99 %.2f; ratio of "
+            "first tokens p50 %.2f"
             % (
                 at(front["first"], 50) - at(direct["first"], 50),
                 at(front["first"], 99) - at(direct["first"], 99),
@@ -203,7 +206,8 @@
         )
         status = fleet.status()
         print(
-            "front: %.2f ms of CPU a req, busy %.2f of a core, %.0f MiB; rounds %d, a round us p50 %d p99 %d max %d"
+            "front: %.2f ms of CPU a req, busy %.2f of a core, %.0f MiB; rounds %d, a round us p50 %d p99 "
+            "%d max %d"
             % (front["cpu_ms"], front["busy"], fleet.memory(), status["rounds"], *status["round_us"].values())
         )
         for higher in [float(text) for text in rates.split(",") if text]:
--- a/bench/fronts.py
+++ b/bench/fronts.py
@@ -1,8 +1,7 @@
 """Fronts to compare with: `python -m bench.fronts NAME edge …` runs the edge with one choice replaced."""
 
-import sys
-
 import random
+import sys
 
 from martenrouter.cli.main import main
 from martenrouter.decisions.conversations import Conversations
@@ -11,7 +10,8 @@
 
 
 def holds_to_its_writer():
-    """Keeps the writer's state for the whole pause and goes on nowhere else (this breaks the release limit)."""
+    """Keeps the writer's state for the whole pause and goes on nowhere else (this breaks the release
+    limit)."""
     init = Conversations.__init__
 
     def long_hold(self, settings):
@@ -38,8 +38,8 @@
 
 
 class Weights:
-    """Decides by a table: engines of a role are drawn by the inverse of how late the planner had found them. No credit, no
-    homes of prefixes, no health of its own; what fails is sent again where its group allows."""
+    """Decides by a table: engines of a role are drawn by the inverse of how late the planner had found them.
+    No credit, no homes of prefixes, no health of its own; what fails is sent again where its group allows."""
 
     def __init__(self, settings):
         self.groups, self.random = settings["groups"], random.Random(1)
@@ -156,8 +156,6 @@
     """While no planner decides, what arrives is pushed back at once; what is open goes on."""
 
     def closed(chain):
-        arrived = chain._arrived
-
         def refused(inner, id, *told):
             chain.out.push_back(id, 500_000, "no planner")
             return False
--- a/bench/greedy.py
+++ b/bench/greedy.py
@@ -1,8 +1,10 @@
-"""One greedy customer of ten: service by customer without limits, with fixed parts of a rate, and with parts that follow.
+"""One greedy customer of ten: service by customer without limits, with fixed parts of a rate, and with parts
+that follow.
 
     python -m bench.greedy [--seeds 4]
 
-Emulated: 8 fronts, 36 stand-in engines; for half of the day one customer asks for fifteen times as much as each other.
+Emulated: 8 fronts, 36 stand-in engines; for half of the day one customer asks for fifteen times as much as
+each other.
 """
 
 import click
@@ -12,7 +14,8 @@
 from martenrouter.lab.emulator.runs import play
 from martenrouter.lab.scenario import Fault
 
-RATE = 20_000  # units a second of each customer over all fronts: some one and a half times what one of the nine asks for
+# units a second of each customer over all fronts: some one and a half times what one of the nine asks for
+RATE = 20_000
 
 
 def day(seed, budgets):
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,5 @@
-"""One load process: open-loop reqs through a front, or straight to a reader and a writer; prints its figures as JSON.
+"""One load process: open-loop reqs through a front, or straight to a reader and a writer; prints its figures
+as JSON.
 
 Run by bench/front.py. Arrivals are even in time and don't wait for answers; a late start counts as waiting.
 """
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -93,8 +93,8 @@
         size += len(data) + len(answer)
     spent = time.perf_counter() - began
     print(
-        "channel: %.0f rounds a second of encoding both ways, %.0f bytes a round (some four rounds a req at 130 a second)"
-        % (rounds / spent, size / rounds)
+        "channel: %.0f rounds a second of encoding both ways, %.0f bytes a round (some four rounds a req "
+        "at 130 a second)" % (rounds / spent, size / rounds)
     )
 
 
@@ -109,7 +109,8 @@
             run = fleet.load("front", rate, seconds)
             status = fleet.status()
             print(
-                "%-12s done %d of %d; added first token p50 %.2f p99 %.2f ms; between tokens p99 +%.2f ms; edge %.2f ms of "
+                "%-12s done %d of %d; added first token p50 %.2f p99 %.2f ms; between tokens p99 +%.2f ms; "
+                "edge %.2f ms of "
                 "CPU a req%s; decides: %s, taken over %d times; a round us p50 %d p99 %d"
                 % (
                     name,
@@ -138,7 +139,8 @@
                 run = fleet.load("front", higher, 8)
                 late = fleet.status()["loop_late_us"]
                 print(
-                    "%-12s at %4.0f/s: done %d of %d; first token p50 %.2f p99 %.2f; busy %.2f of a core; loop late p99 %d max %d"
+                    "%-12s at %4.0f/s: done %d of %d; first token p50 %.2f p99 %.2f; busy %.2f of a core; "
+                    "loop late p99 %d max %d"
                     % (
                         name,
                         higher,
@@ -159,7 +161,8 @@
 
 
 def through_a_stall(rate=60, stalled=1.5):
-    """First tokens by quarter second before, through and after a stall of the planner; when it decides again after it woke."""
+    """First tokens by quarter second before, through and after a stall of the planner; when it decides again
+    after it woke."""
     for way, planner in (("as_built", True), ("as_built", False), ("waits_for_its_planner", True)):
         fleet = Fleet(planner=planner, command=[sys.executable, "-m", "bench.fronts", way])
         try:
--- a/bench/plays.py
+++ b/bench/plays.py
@@ -1,7 +1,8 @@
 """What became of the reqs of a play, counted from the front nodes' own logs: `python -m bench.plays DIR ...`.
 
-A folder holds a file of log lines for each node, as the operators' bench leaves them (a time in seconds ahead of each line). From
-lines of `--log info` come the ends of reqs; with `--log debug` also groups, lengths and forwards. Simulated servers: say so.
+A folder holds a file of log lines for each node, as the operators' bench leaves them (a time in seconds ahead
+of each line). From lines of `--log info` come the ends of reqs; with `--log debug` also groups, lengths and
+forwards. Simulated servers: say so.
 """
 
 import collections
@@ -76,7 +77,8 @@
             self.unanswered.append(told["req"])
 
     def shares(self):
-        """For each group: (reqs, share answered, share of its longest tenth, shares by thirds of the play)."""
+        """For each group: (reqs, share answered, share of its longest tenth, shares by thirds of the
+        play)."""
         groups = collections.defaultdict(list)
         for at, group, prompt, end in self.reqs.values():
             groups[group].append((at, prompt, end == "done"))
@@ -102,7 +104,8 @@
             told or "no reqs",
         )
         yield (
-            "  unanswered to their client's deadline %d, open at a stop %d, answered late %d%s, forwards after the end %d"
+            "  unanswered to their client's deadline %d, open at a stop %d, answered late %d%s, forwards "
+            "after the end %d"
             % (
                 len(self.unanswered),
                 self.open_at_stop,
--- a/bench/stall.py
+++ b/bench/stall.py
@@ -1,11 +1,11 @@
-"""What deciding without a planner is worth: planners are stopped for most of a day while a writer hangs, another is ten times
-slower and an engine drains.
+"""What deciding without a planner is worth: planners are stopped for most of a day while a writer hangs,
+another is ten times slower and an engine drains.
 
     python -m bench.stall [--seeds 2]
 
-As built the edge runs the same decisions from its facts; `weights_without_planner` sends by a table of weights that
-the planner left; `pushes_back_without_planner` answers all with a pushback. Stand-in engines, one machine. Rules are judged from
-the traffic on sockets, for these ways too.
+As built the edge runs the same decisions from its facts; `weights_without_planner` sends by a table of
+weights that the planner left; `pushes_back_without_planner` answers all with a pushback. Stand-in engines,
+one machine. Rules are judged from the traffic on sockets, for these ways too.
 """
 
 import sys
--- a/bench/warm.py
+++ b/bench/warm.py
@@ -1,5 +1,5 @@
-"""What a warm start is worth: a front is killed and started again while one of four readers is ten times slower; its planner
-begins with its newest snapshot, or with nothing.
+"""What a warm start is worth: a front is killed and started again while one of four readers is ten times
+slower; its planner begins with its newest snapshot, or with nothing.
 
     python -m bench.warm [--seeds 3]
 
@@ -59,7 +59,8 @@
             for time in found:
                 times.record_value(max(time, 1))
         print(
-            "begins with %-9s %3d reqs in the first 3 s: first token ms p50 %.0f p90 %.0f p99 %.0f; prompt tokens read a req %.0f"
+            "begins with %-9s %3d reqs in the first 3 s: first token ms p50 %.0f p90 %.0f p99 %.0f; prompt "
+            "tokens read a req %.0f"
             % (
                 name,
                 asked,
--- a/martenrouter/cli/lab.py
+++ b/martenrouter/cli/lab.py
@@ -29,7 +29,8 @@
 )
 @click.option("--quiet", is_flag=True, help="No progress on standard error.")
 def run(scenario, seed, as_json, unjudged, report, policy, quiet):
-    """Plays SCENARIO (a name or a Jsonnet file) in virtual time. Exit 0 only if every rule was kept and all was as expected."""
+    """Plays SCENARIO (a name or a Jsonnet file) in virtual time. Exit 0 only if every rule was kept and all
+    was as expected."""
     from martenrouter.cli.judge import show
     from martenrouter.lab.emulator.runs import play
     from martenrouter.lab.verdict import text
@@ -144,7 +145,8 @@
 def compare(
     builds, scenarios, as_json, workers, store, size, days, first, seconds, planners, troubles, quiet
 ):
-    """Plays the same days under each of BUILDS and sets all against the first. A build: a policy, rev:REVISION, set:JSON."""
+    """Plays the same days under each of BUILDS and sets all against the first. A build: a policy,
+    rev:REVISION, set:JSON."""
     import json
 
     from martenrouter.lab import compare as comparing
@@ -231,7 +233,8 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--policy", "policies", multiple=True, default=("as-built",), help="One or two.")
 def report(scenario, path, seed, policies):
-    """Plays SCENARIO and writes it as one page to PATH (.html or .png); two policies are drawn over each other."""
+    """Plays SCENARIO and writes it as one page to PATH (.html or .png); two policies are drawn over each
+    other."""
     from martenrouter.lab.emulator.runs import play
     from martenrouter.lab.report import write
 
--- a/martenrouter/cli/ledger.py
+++ b/martenrouter/cli/ledger.py
@@ -40,7 +40,8 @@
 @click.option("--front", required=True, help="Name of the front whose ledger it is.")
 @click.option("--entries", default=10_000, show_default=True, help="In a file, at most.")
 def export(path, directory, front, entries):
-    """Writes what was not exported yet to files in DIRECTORY; each entry goes out once, whatever interrupts it."""
+    """Writes what was not exported yet to files in DIRECTORY; each entry goes out once, whatever interrupts
+    it."""
     ledger = _opened(path, front)
     made = _guarded(lambda: ledger.export(directory, entries))
     for name in made:
@@ -93,7 +94,8 @@
     "--period", "kind", type=click.Choice(["hour", "day", "month"]), default="day", show_default=True
 )
 def correct(path, identity, units, front, why, kind):
-    """Books UNITS more (or less) against the entry IDENTITY, in the period that is on; also when that entry was exported."""
+    """Books UNITS more (or less) against the entry IDENTITY, in the period that is on; also when that entry
+    was exported."""
     from martenrouter.decisions import booking, periods
 
     ledger, wall = _opened(path, front), time.time_ns() // 1000
@@ -130,7 +132,8 @@
 @click.argument("files", nargs=-1, required=True, type=click.Path(exists=True))
 @click.option("--json", "as_json", is_flag=True)
 def reconcile(files, as_json):
-    """Adds up the exports of many fronts, files or directories; names gaps, doubles and contradictions. Exit 1 when something is wrong."""
+    """Adds up the exports of many fronts, files or directories; names gaps, doubles and contradictions. Exit
+    1 when something is wrong."""
     from martenrouter.decisions import booking
     from martenrouter.state.ledger import read_export
 
--- a/martenrouter/cli/life.py
+++ b/martenrouter/cli/life.py
@@ -10,7 +10,8 @@
 
 
 def stop_with_stdin():
-    """Ends this process at once when its standard input ends, as it does when its starter dies, however it dies."""
+    """Ends this process at once when its standard input ends, as it does when its starter dies, however it
+    dies."""
 
     def watch():
         descriptor = sys.stdin.fileno()
@@ -34,8 +35,9 @@
 
 
 def settle_memory(objects=50_000):
-    """What is loaded by now lives as long as the process, and what a req leaves is freed by count: the collector of
-    cycles need not look often. 50,000 new objects are some hundred reqs; a look then costs under a millisecond."""
+    """What is loaded by now lives as long as the process, and what a req leaves is freed by count: the
+    collector of cycles need not look often. 50,000 new objects are some hundred reqs; a look then costs under
+    a millisecond."""
     gc.collect()
     gc.freeze()
     gc.set_threshold(objects, 20, 100)
--- a/martenrouter/cli/load.py
+++ b/martenrouter/cli/load.py
@@ -26,7 +26,8 @@
 @click.option("--quiet", is_flag=True)
 @click.option("--worker", "as_worker", is_flag=True, hidden=True)
 def command(fronts, readers, writers, path, rate, seconds, workers, model, raw, as_json, quiet, as_worker):
-    """Asks at the profile's rate whatever is answered, and prints histograms counted from when each req was due."""
+    """Asks at the profile's rate whatever is answered, and prints histograms counted from when each req was
+    due."""
     from martenrouter.lab import load
 
     if as_worker:
--- a/martenrouter/cli/node.py
+++ b/martenrouter/cli/node.py
@@ -17,9 +17,11 @@
 )
 @click.option("--plain", is_flag=True, help="Log lines for a person, not JSON.")
 def command(path, level, plain):
-    """Serves clients of the platform; the configuration comes from PATH, or from the file that $EDGE_CONFIG names.
+    """Serves clients of the platform; the configuration comes from PATH, or from the file that $EDGE_CONFIG
+    names.
 
-    SIGTERM or SIGINT stops it cleanly, SIGHUP reads PATH anew, SIGUSR1 logs what it believes of engines beside its sockets.
+    SIGTERM or SIGINT stops it cleanly, SIGHUP reads PATH anew, SIGUSR1 logs what it believes of engines
+    beside its sockets.
     """
     from martenrouter.node.signals import Early
 
--- a/martenrouter/cli/rehearse.py
+++ b/martenrouter/cli/rehearse.py
@@ -25,11 +25,12 @@
 )
 @click.option("--quiet", is_flag=True, help="No progress on standard error.")
 def command(scenario, names, seed, speed, as_json, records, quiet):
-    """Plays SCENARIO (a name or a Jsonnet file). Exit 0 only if every rule was kept and all was as it expects."""
+    """Plays SCENARIO (a name or a Jsonnet file). Exit 0 only if every rule was kept and all was as it
+    expects."""
     from martenrouter.cli.judge import show
     from martenrouter.lab import scenario as scenarios
-    from martenrouter.lab.rehearse import Rehearsal
     from martenrouter.lab.audit import audited
+    from martenrouter.lab.rehearse import Rehearsal
     from martenrouter.lab.verdict import text, verdict
     from martenrouter.settings.load import BadSettings
 
--- a/martenrouter/decisions/admission.py
+++ b/martenrouter/decisions/admission.py
@@ -1,7 +1,7 @@
 """Which reqs are taken at all: bounds on open reqs, a deadline that is past, a front that is stopping.
 
-`Admission.arrived` answers None (taken) or (reason, time to return in microseconds). What is not taken was never
-forwarded, so a retry is harmless whatever the endpoint group.
+`Admission.arrived` answers None (taken) or (reason, time to return in microseconds). What is not taken was
+never forwarded, so a retry is harmless whatever the endpoint group.
 """
 
 
@@ -43,7 +43,8 @@
         del self.ended[:-64]
 
     def _return_after(self, now, group):
-        """Until a sixteenth of the places have come free, at the rate of the last ends; half a target without one."""
+        """Until a sixteenth of the places have come free, at the rate of the last ends; half a target without
+        one."""
         target = self.groups.get(group, {}).get("target", 0)
         if len(self.ended) < 8:
             return min(target // 2, self.advice_cap)
--- a/martenrouter/decisions/background.py
+++ b/martenrouter/decisions/background.py
@@ -1,8 +1,10 @@
-"""Work that can wait: when a process does some of it between its rounds, by importance and within a budget of its time.
+"""Work that can wait: when a process does some of it between its rounds, by importance and within a budget of
+its time.
 
-No clock, no threads: `pick(now)` names the work to do a slice of, or None; `ran` tells what the slice took and whether the work
-is whole. A slice is never begun when its usual time doesn't fit in what the budget holds, so that what is due in a round
-waits for one slice at most, and on average for no more than the budget's share of the time.
+No clock, no threads: `pick(now)` names the work to do a slice of, or None; `ran` tells what the slice took
+and whether the work is whole. A slice is never begun when its usual time doesn't fit in what the budget
+holds, so that what is due in a round waits for one slice at most, and on average for no more than the
+budget's share of the time.
 """
 
 
@@ -51,7 +53,8 @@
         return work.name
 
     def ran(self, now, name, spent, whole):
-        """A slice of it took `spent` microseconds; `whole`: it is done for this time. The budget may go below nothing."""
+        """A slice of it took `spent` microseconds; `whole`: it is done for this time. The budget may go below
+        nothing."""
         work = self.works[name]
         work.usual += (spent - work.usual) / 4 if work.slices else spent
         work.slices, work.spent, work.begun = work.slices + 1, work.spent + spent, not whole
--- a/martenrouter/decisions/booking.py
+++ b/martenrouter/decisions/booking.py
@@ -1,9 +1,11 @@
-"""What a ledger's entries mean: which are the same, what they add up to, what is missing. No I/O and no clock.
-
-An entry is never changed. Each has an identity; the same identity with the same content is the same entry and counts once, with other
-content it is a contradiction and is named. A correction is an entry of its own that refers to the one it corrects; it may be corrected
-itself, so that the last word is the sum. An entry belongs to the period in which it was settled, which is never an earlier one than
-that of the entry before it: a period that was closed gets nothing more, and an answer that streams over its end counts to the next.
+"""What a ledger's entries mean: which are the same, what they add up to, what is missing. No I/O and no
+clock.
+
+An entry is never changed. Each has an identity; the same identity with the same content is the same entry and
+counts once, with other content it is a contradiction and is named. A correction is an entry of its own that
+refers to the one it corrects; it may be corrected itself, so that the last word is the sum. An entry belongs
+to the period in which it was settled, which is never an earlier one than that of the entry before it: a
+period that was closed gets nothing more, and an answer that streams over its end counts to the next.
 """
 
 CHARGE, CORRECTION, CLOSE, RESOLVED = "charge", "correction", "close", "resolved"
@@ -50,8 +52,8 @@
 
 
 def correction(known, period, wall, number, units, why, prompt=0, written=0):
-    """Corrects the entry `known` by `units` more (or less), in the period that is on. `number`: how many it has had before.
-    Raises BadEntry."""
+    """Corrects the entry `known` by `units` more (or less), in the period that is on. `number`: how many it
+    has had before. Raises BadEntry."""
     if known is None:
         raise BadEntry("no entry of that identity here")
     if known["kind"] not in (CHARGE, CORRECTION):
@@ -75,8 +77,9 @@
 
 
 def close(front, period, period_end, wall, totals):
-    """`totals`: what the period held for each customer. A period that is over gets nothing more, since entries are booked to the period
-    that is on, which never goes back (periods.Calendar). Raises BadEntry for one that is not over."""
+    """`totals`: what the period held for each customer. A period that is over gets nothing more, since
+    entries are booked to the period that is on, which never goes back (periods.Calendar). Raises BadEntry for
+    one that is not over."""
     if wall < period_end:
         raise BadEntry("period %s is not over" % period)
     return {
@@ -127,7 +130,8 @@
 
 
 def gaps(ranges):
-    """`ranges`: (first, last) sequence numbers of one front's exports, in any order. ([missing (first, last)], [doubled (first, last)])."""
+    """`ranges`: (first, last) sequence numbers of one front's exports, in any order. ([missing (first,
+    last)], [doubled (first, last)])."""
     missing, doubled, due = [], [], 1
     for first, last in sorted(ranges):
         if first > due:
@@ -139,7 +143,8 @@
 
 
 def reconcile(exports):
-    """`exports`: (front, first, last, entries, whole) of each file. A plain value: totals over all fronts, and all that is wrong."""
+    """`exports`: (front, first, last, entries, whole) of each file. A plain value: totals over all fronts,
+    and all that is wrong."""
     sums, by_front, torn, wrong_close = Sums(), {}, [], []
     closed = {}
     for front, first, last, entries, whole in sorted(exports, key=lambda one: (one[0], one[1])):
@@ -169,5 +174,6 @@
 
 
 def in_order(told):
-    """Whether a reconciliation found nothing wrong. A file that came twice is harmless: its entries counted once."""
+    """Whether a reconciliation found nothing wrong. A file that came twice is harmless: its entries counted
+    once."""
     return not any(told[name] for name in ("contradictions", "missing", "torn", "after a close"))
--- a/martenrouter/decisions/budgets.py
+++ b/martenrouter/decisions/budgets.py
@@ -1,20 +1,24 @@
-"""Token budgets: what a customer may spend, how fast and how much at a time; reserved at admission, corrected as tokens come, settled
-once. No I/O and no clock: `now` (monotonic, for rates) and `wall` (for periods) are handed in, in whole microseconds.
+"""Token budgets: what a customer may spend, how fast and how much at a time; reserved at admission, corrected
+as tokens come, settled once. No I/O and no clock: `now` (monotonic, for rates) and `wall` (for periods) are
+handed in, in whole microseconds.
 
-Amounts are whole units: prompt tokens times the price of reading one, answer tokens times that of writing one, so that nothing is lost by
-rounding. Limits nest: a req passes the installation's, its customer's, its endpoint group's within the customer, its session's; it is taken
-only when all have room, and holds a place in all.
+Amounts are whole units: prompt tokens times the price of reading one, answer tokens times that of writing
+one, so that nothing is lost by rounding. Limits nest: a req passes the installation's, its customer's, its
+endpoint group's within the customer, its session's; it is taken only when all have room, and holds a place in
+all.
 
     reserve -> [more as tokens come ...] -> settle          what the client got is charged, once
                                          -> drop            it got nothing: nothing is charged
 
-What engines did besides (a forward repeated, an answer read anew) is booked to the house by `waste` and touches no budget.
+What engines did besides (a forward repeated, an answer read anew) is booked to the house by `waste` and
+touches no budget.
 
-**The bound.** Spent and reserved of a node stay at or under its cap by admission and by each `more`, but for the node's one *grace*: the
-first answer that would pass the cap while it is written holds it and may be finished; all others are ended where the cap is. The next is
-given only when the holder has settled. So a node's cap is passed by no more than what one answer writes beyond the cap
-(tests.test_budgets proves it for random orders of events). With `on_cap` "end" nobody gets it and the cap is passed by nothing; with
-"finish" all may be finished, and the bound is what was open.
+**The bound.** Spent and reserved of a node stay at or under its cap by admission and by each `more`, but for
+the node's one *grace*: the first answer that would pass the cap while it is written holds it and may be
+finished; all others are ended where the cap is. The next is given only when the holder has settled. So a
+node's cap is passed by no more than what one answer writes beyond the cap (tests.test_budgets proves it for
+random orders of events). With `on_cap` "end" nobody gets it and the cap is passed by nothing; with "finish"
+all may be finished, and the bound is what was open.
 """
 
 from martenrouter.decisions.periods import period
@@ -25,7 +29,8 @@
 
 
 class Limits:
-    """What a node is held to. `cap`: units a period, or None; `rate`: units a second, or None, with `burst` units saved up;
+    """What a node is held to. `cap`: units a period, or None; `rate`: units a second, or None, with `burst`
+    units saved up;
     `open`: reqs at a time, or None; `share`: its part of its parent when that is short."""
 
     __slots__ = ("cap", "period", "rate", "burst", "open", "share", "on_cap")
@@ -75,7 +80,8 @@
 
 
 class Refusal:
-    """Why a req isn't taken: which node, which of its limits, and microseconds until it has room again (None: never as it is)."""
+    """Why a req isn't taken: which node, which of its limits, and microseconds until it has room again (None:
+    never as it is)."""
 
     __slots__ = ("key", "limit", "after")
 
@@ -98,7 +104,8 @@
     MOST = 200_000  # nodes of customers and sessions; the longest unused that hold nothing leave first
 
     def __init__(self, now, limits_of, read_price, write_price, part=None):
-        """`limits_of(key)`: Limits or None for a node; `part(key)`: this front's part of them, 0 to 1 (decisions/parts.py)."""
+        """`limits_of(key)`: Limits or None for a node; `part(key)`: this front's part of them, 0 to 1
+        (decisions/parts.py)."""
         self.limits_of, self.read_price, self.write_price = limits_of, read_price, write_price
         self.part = part or (lambda key: 1.0)
         self.nodes, self.open, self.lapses = {}, {}, Wheel(now, TICK)
@@ -128,7 +135,8 @@
         return node
 
     def _forget(self, now):
-        """Sessions and customers that hold nothing and spent nothing that counts. A node with a cap keeps what it spent."""
+        """Sessions and customers that hold nothing and spent nothing that counts. A node with a cap keeps
+        what it spent."""
         idle = sorted(
             (node.used_at, str(key), key)
             for key, node in self.nodes.items()
@@ -138,7 +146,8 @@
             del self.nodes[key]
 
     def cap(self, node):
-        """This front's part of a node's cap, in whole units, rounded down: all fronts' together stay under it."""
+        """This front's part of a node's cap, in whole units, rounded down: all fronts' together stay under
+        it."""
         return int(node.limits.cap * self.part(node.key))
 
     # ---- a req's way ----
@@ -147,8 +156,9 @@
         return prompt * self.read_price + written * self.write_price
 
     def reserve(self, now, wall, id, keys, prompt, expected, lapse):
-        """None when it is taken, else a Refusal. `expected`: answer tokens; `lapse`: microseconds after which the reservation is freed
-        if nobody settled it. The first limit on the way that has no room refuses; nothing is held then."""
+        """None when it is taken, else a Refusal. `expected`: answer tokens; `lapse`: microseconds after which
+        the reservation is freed if nobody settled it. The first limit on the way that has no room refuses;
+        nothing is held then."""
         amount = self.price(prompt, expected)
         nodes = [node for node in (self._node(now, key) for key in keys) if node is not None]
         for node in nodes:
@@ -171,7 +181,8 @@
             return Refusal(node.key, "open", 100_000)  # some answer of it ends in that time; none is promised
         if limits.rate is not None:
             level = node.fill(now)
-            # a req dearer than the burst goes when the burst is whole, and leaves a debt: else it would never go
+            # a req dearer than the burst goes when the burst is whole, and leaves a debt: else it would never
+            # go
             need = min(amount, limits.burst)
             if level < need:
                 return Refusal(node.key, "rate", int((need - level) * 1e6 / limits.rate) + 1)
@@ -187,8 +198,8 @@
         return None
 
     def more(self, now, wall, id, written, prompt=None):
-        """Tokens of the answer came, `written` so far, or an engine has counted the prompt. True: go on; False: end the answer here, its
-        budget is spent (asked again it stays so)."""
+        """Tokens of the answer came, `written` so far, or an engine has counted the prompt. True: go on;
+        False: end the answer here, its budget is spent (asked again it stays so)."""
         held = self.open.get(id)
         if held is None:
             return True
@@ -220,14 +231,15 @@
         return True
 
     def settle(self, now, wall, id, prompt, written):
-        """What the client got is charged; the rest of what was reserved is free again. Returns the units charged, None when there is
-        no such reservation (settled already: a repeat charges nothing)."""
+        """What the client got is charged; the rest of what was reserved is free again. Returns the units
+        charged, None when there is no such reservation (settled already: a repeat charges nothing)."""
         held = self._release(id)
         if held is None:
             return None
         charged = self.price(prompt, written)
         if held.stopped and charged > held.amount:
-            # a prompt that an engine counted longer than was guessed: what the cap has no room for is the house's
+            # a prompt that an engine counted longer than was guessed: what the cap has no room for is the
+            # house's
             self.house["beyond a cap"] = self.house.get("beyond a cap", 0) + charged - held.amount
             charged = held.amount
         for key in held.path:
@@ -266,8 +278,8 @@
         return held
 
     def lapsed(self, now):
-        """Reservations that nobody settled in their time, freed; their ids. What is known to be written of them is for the caller to
-        charge or not."""
+        """Reservations that nobody settled in their time, freed; their ids. What is known to be written of
+        them is for the caller to charge or not."""
         ids = self.lapses.due(now)
         for id in ids:
             self.drop(id)
@@ -279,7 +291,8 @@
     # ---- settings that change under load, corrections, restarts ----
 
     def changed(self, now, wall):
-        """New limits: what is spent, reserved and open stays; a lowered cap ends answers at their next tokens, refuses new ones."""
+        """New limits: what is spent, reserved and open stays; a lowered cap ends answers at their next
+        tokens, refuses new ones."""
         for key, node in list(self.nodes.items()):
             limits = self.limits_of(key)
             if limits is None:
@@ -304,7 +317,8 @@
                 node.period.add(wall, units)
 
     def export(self):
-        """What has been spent, as plain data. Reservations are no part of it: after a crash they are resolved by the ledger's rule."""
+        """What has been spent, as plain data. Reservations are no part of it: after a crash they are resolved
+        by the ledger's rule."""
         return [
             [list(key), node.period.state(), node.limits.period]
             for key, node in sorted(self.nodes.items(), key=lambda one: str(one[0]))
--- a/martenrouter/decisions/chain.py
+++ b/martenrouter/decisions/chain.py
@@ -1,20 +1,21 @@
-"""All decisions of one front, called once a round: admission, the module, begun streams, conversations, the stop.
+"""All decisions of one front, called once a round: admission, the module, begun streams, conversations, the
+stop.
 
 `Chain.turn(now, inbox, out)` is called like the module and takes its calls, and besides:
 
-    arrived(id, …, connection)   the module's `arrived` with the deadline of the whole answer and the connection after it
-    flowed(counts)               tokens of begun streams since the last round
+    arrived(id, …, connection)   the module's `arrived` with the deadline of the whole answer and the
+    connection after it flowed(counts)               tokens of begun streams since the last round
     swamped(id)                  a client reads too slowly
     call(id, call, name, repeatable)           a tool call is whole while its step still streams
-    step(id, n, engine, elapsed, load, held, calls, prompt, left)   a step ended with tool calls; held: its state is kept
-    adopt(id, facts)             what follows of a req that the decider before had; None when it has been answered
-    changed(id, call)            the step, written anew, asks for something else at that call's place
-    tool(id, call, prompt, left)               a call has its result; prompt: tokens of the answer so far with all results
-    stop()                       nothing new from now on
+    step(id, n, engine, elapsed, load, held, calls, prompt, left)   a step ended with tool calls; held: its
+    state is kept adopt(id, facts)             what follows of a req that the decider before had; None when it
+    has been answered changed(id, call)            the step, written anew, asks for something else at that
+    call's place tool(id, call, prompt, left)               a call has its result; prompt: tokens of the
+    answer so far with all results stop()                       nothing new from now on
 
 `out` takes the module's decisions, and besides: `push_back` and `abort` with a reason as a further argument,
-`end_stream(id, n)`, which closes a begun forward, and what decisions/conversations.py names. Ids of forwards' reqs are leg
-ids. One logic decides wherever it runs: the edge's own process, a planner, the laboratory.
+`end_stream(id, n)`, which closes a begun forward, and what decisions/conversations.py names. Ids of forwards'
+reqs are leg ids. One logic decides wherever it runs: the edge's own process, a planner, the laboratory.
 """
 
 from martenrouter.decisions.admission import Admission
@@ -80,7 +81,8 @@
     # ---- taking over ----
 
     def adopt(self, now, facts, learnt=None):
-        """Rebuilds all state from an edge's facts (edge/handover.py says what they are), decides nothing yet."""
+        """Rebuilds all state from an edge's facts (edge/handover.py says what they are), decides nothing
+        yet."""
         self.now = self.front.now = now
         self.front.out = _Nothing()
         self.front.listed(facts["version"], "first", [tuple(row) for row in facts["rows"]])
@@ -304,8 +306,8 @@
         return False
 
     def _changed(self, inner, id, call):
-        """Written anew, a step asks for something else where `call` stood. With effects it is run and can't be unrun:
-        an answer that doesn't show it must not go on."""
+        """Written anew, a step asks for something else where `call` stood. With effects it is run and can't
+        be unrun: an answer that doesn't show it must not go on."""
         talk = self.talks.talks.get(id)
         old = talk and talk.calls.get(call)
         if old is None:
@@ -392,7 +394,8 @@
         self._closed(id)
 
     def _broke(self, id, answer):
-        """A begun stream can't be taken up where it was; what may repeat is read anew, with its answer so far."""
+        """A begun stream can't be taken up where it was; what may repeat is read anew, with its answer so
+        far."""
         talk = self.talks.talks.get(req_of(id))
         if talk and id == leg_id(talk.id, talk.leg) and self.talks.may_rewrite(self.now, talk):
             talk.rewrites += 1
@@ -421,7 +424,8 @@
         if how == "anew":
             self.next_legs.append(("arrived", self._told(talk, leg)))
         else:
-            # the pause counts to the state's release: begun anew, the limit would be passed by up to its length
+            # the pause counts to the state's release: begun anew, the limit would be passed by up to its
+            # length
             waited = max(self.now - talk.hold_until + self.talks.hold_for, 0)
             self.next_legs.append(("resumed", (*self._told(talk, leg), holder, how == "here", waited)))
 
@@ -466,7 +470,8 @@
             self.stream_due = due and min(due, self.now + STREAM_LOOK)
 
     def _end_all(self):
-        """What is still open when the time to stop has come is answered: pushed back where that is harmless."""
+        """What is still open when the time to stop has come is answered: pushed back where that is
+        harmless."""
         for id in list(self.whole):
             talk = self.talks.talks[id]
             leg = leg_id(id, talk.leg)
--- a/martenrouter/decisions/connections.py
+++ b/martenrouter/decisions/connections.py
@@ -1,11 +1,13 @@
-"""Which connections to an engine are kept and used: no sockets here, a connection is whatever the caller hands in.
+"""Which connections to an engine are kept and used: no sockets here, a connection is whatever the caller
+hands in.
 
-Kept ones are used newest first, so that a burst's extra ones grow old and are closed. An idle one that is older than
-engines commonly keep theirs is not used: its end may already be on the way, and a req sent into it would end as a
-reset that proves nothing.
+Kept ones are used newest first, so that a burst's extra ones grow old and are closed. An idle one that is
+older than engines commonly keep theirs is not used: its end may already be on the way, and a req sent into it
+would end as a reset that proves nothing.
 
-Something between here and the engines may also drop kept ones long before: what was kept then breaks at its next use, at all
-engines alike. Where more than a quarter of those used lately did, none is used until that has faded; a new one costs a handshake.
+Something between here and the engines may also drop kept ones long before: what was kept then breaks at its
+next use, at all engines alike. Where more than a quarter of those used lately did, none is used until that
+has faded; a new one costs a handshake.
 """
 
 from martenrouter.rules import Sum
@@ -20,9 +22,9 @@
     FADES = 4_000_000  # microseconds: as the module's own measure of troubles that last for some seconds
 
     def __init__(self, most, idle=IDLE, total=None, rests=0):
-        """`most` for one engine, `total` for all together; `idle`: microseconds an unused one is kept, where the engines' own
-        limit is known; `rests`: microseconds before it is used again, in which what nobody asked for may still come: on a
-        connection in use it would be taken for the answer to the next req."""
+        """`most` for one engine, `total` for all together; `idle`: microseconds an unused one is kept, where
+        the engines' own limit is known; `rests`: microseconds before it is used again, in which what nobody
+        asked for may still come: on a connection in use it would be taken for the answer to the next req."""
         self.most, self.total, self.within, self.rests = most, total, idle, rests
         self.idle, self.count = {}, 0  # engine -> [(since, connection)], oldest first; how many there are
         self.used, self.broke = Sum(self.FADES), Sum(self.FADES)
@@ -64,7 +66,8 @@
         if len(kept) > self.most:
             return self._drop(engine)
         if self.total is not None and self.count > self.total:
-            # guards against hundreds of engines, each within its own bound: the one that is unused for longest goes
+            # guards against hundreds of engines, each within its own bound: the one that is unused for
+            # longest goes
             return self._drop(min(self.idle, key=lambda engine: self.idle[engine][0][0]))
         return ()
 
--- a/martenrouter/decisions/conversations.py
+++ b/martenrouter/decisions/conversations.py
@@ -1,18 +1,20 @@
 """Answers that stop for tools: what is kept meanwhile, where they go on, what they get when no way is left.
 
-An answer is written in **legs**: the first is the req as it arrived; another begins after each pause for tools, or after a
-stream broke and its answer so far is read anew. To the module each leg is a req of its own, with the id `leg_id`; the edge
-and this file know that they are one conversation with one final answer.
+An answer is written in **legs**: the first is the req as it arrived; another begins after each pause for
+tools, or after a stream broke and its answer so far is read anew. To the module each leg is a req of its own,
+with the id `leg_id`; the edge and this file know that they are one conversation with one final answer.
 
     writing --step ended with calls--> paused --all answered--> writing (next leg) … --> ended
     writing --stream broke, replayable--> writing (next leg, answer so far read anew)
     any --deadline, no way left, client gone--> ended
 
-`out` takes, besides the module's decisions: `call_tool(id, call)` (now it goes to the client), `fail_call(id, call, why)` (its
-result is this error), `next_leg(id, anew)` (the edge makes the next leg's prompt; anew: from the answer so far).
+`out` takes, besides the module's decisions: `call_tool(id, call)` (now it goes to the client), `fail_call(id,
+call, why)` (its result is this error), `next_leg(id, anew)` (the edge makes the next leg's prompt; anew: from
+the answer so far).
 """
 
-from martenrouter.rules import NEVER_RAN  # noqa: F401 - for the edge, which notes the forward that may have run
+# noqa: F401 - for the edge, which notes the forward that may have run
+from martenrouter.rules import NEVER_RAN as NEVER_RAN
 
 MASK = (1 << 32) - 1
 WRITING, PAUSED = "writing", "paused"
@@ -96,7 +98,8 @@
         talk.rank = -self.groups.get(group, {}).get("importance", 1), deadline, id
 
     def ended(self, id):
-        """Answered or gone: its calls no longer count, waiting ones are not sent. What is held is let go by the caller."""
+        """Answered or gone: its calls no longer count, waiting ones are not sent. What is held is let go by
+        the caller."""
         talk = self.talks.pop(id, None)
         if talk:
             for call in talk.calls.values():
@@ -106,7 +109,8 @@
         return talk
 
     def harmless(self, talk):
-        """Whether the client may do it all again: what ran may repeat, and no tool with effects was called."""
+        """Whether the client may do it all again: what ran may repeat, and no tool with effects was
+        called."""
         group = self.groups.get(talk.group) or {}
         effect = group.get("effect")
         again = effect == "replayable" or effect == "keyed" and group.get("repeat_scope") == "all"
@@ -118,8 +122,9 @@
     # ---- pauses ----
 
     def step_ended(self, now, talk, engine, born, held, room, calls):
-        """The writer asked for tools. `calls`: (id, name, repeatable) of those not answered yet; `room`: the part of the
-        writer's memory that is free. Returns a reason to give up, or None; `holds(talk)` says whether it is kept."""
+        """The writer asked for tools. `calls`: (id, name, repeatable) of those not answered yet; `room`: the
+        part of the writer's memory that is free. Returns a reason to give up, or None; `holds(talk)` says
+        whether it is kept."""
         talk.steps += 1
         if talk.steps > self.settings["tool_steps"]:
             return "too many tool steps"
@@ -128,8 +133,8 @@
             if id not in talk.calls:
                 talk.calls[id] = Call(name, repeatable)
                 self.queue.append((talk.rank, talk.id, id))
-        # kept only if an answer within the limit is likely and others don't need the room: let go early costs a read of
-        # what the home has kept, kept in vain costs every answer at that writer
+        # kept only if an answer within the limit is likely and others don't need the room: let go early costs
+        # a read of what the home has kept, kept in vain costs every answer at that writer
         waiting = [call for call in talk.calls.values() if call.state != ANSWERED]
         usual = max((self.took.get(call.name, 0) for call in waiting), default=0)
         talk.holder, talk.holder_born = None, born
@@ -246,7 +251,8 @@
                 self._note(call.due)
 
     def adopt_pause(self, now, talk, holder, born, since):
-        """A pause that another decider began `since` microseconds ago; what it holds is kept as long as it would have."""
+        """A pause that another decider began `since` microseconds ago; what it holds is kept as long as it
+        would have."""
         talk.state = PAUSED
         if holder:
             talk.holder, talk.holder_born, talk.hold_until = holder, born, now + max(self.hold_for - since, 0)
@@ -263,8 +269,9 @@
     # ---- going on ----
 
     def where(self, talk, engine, suspected):
-        """How a paused answer goes on: `here` (the writer that holds it), `near` (its state is fetched from there by a
-        writer that the module picks), or `anew`. `engine`: the holder as the module knows it, None if it doesn't."""
+        """How a paused answer goes on: `here` (the writer that holds it), `near` (its state is fetched from
+        there by a writer that the module picks), or `anew`. `engine`: the holder as the module knows it, None
+        if it doesn't."""
         if talk.holder is None or engine is None or engine.born != talk.holder_born:
             return "anew"  # let go, gone, or another process under the old id: nothing of it holds
         if not engine.up or suspected or engine.born:
@@ -279,7 +286,8 @@
         return leg_id(talk.id, talk.leg)
 
     def may_rewrite(self, now, talk):
-        """Whether a broken stream's answer so far is read anew and written on elsewhere: only what may repeat."""
+        """Whether a broken stream's answer so far is read anew and written on elsewhere: only what may
+        repeat."""
         effect = (self.groups.get(talk.group) or {}).get("effect")
         target = (self.groups.get(talk.group) or {}).get("target", 0)
         return effect == "replayable" and talk.rewrites < self.REWRITES and talk.deadline - now > target
--- a/martenrouter/decisions/gate.py
+++ b/martenrouter/decisions/gate.py
@@ -1,15 +1,19 @@
-"""When the fleet is short, who waits before the module: reqs beyond a few unread ones stand here, in the fair order of their customers.
+"""When the fleet is short, who waits before the module: reqs beyond a few unread ones stand here, in the fair
+order of their customers.
 
-The module takes the important and the early first and knows customers by their quota only; one that asks for much more than others fills its
-queue. With a gate it never has more unread reqs than `LIMIT`, and the next one is whose customer had least (decisions/sharing.py). What has
-waited for half of its response target is pushed back with a time to return: it was never forwarded, so a retry is harmless.
+The module takes the important and the early first and knows customers by their quota only; one that asks for
+much more than others fills its queue. With a gate it never has more unread reqs than `LIMIT`, and the next
+one is whose customer had least (decisions/sharing.py). What has waited for half of its response target is
+pushed back with a time to return: it was never forwarded, so a retry is harmless.
 """
 
 from martenrouter.decisions.sharing import Sharing
 
 
 class Gate:
-    LIMIT = 24  # unread reqs in the module: under some two dozen it still picks among enough, and the wait behind them is short
+    # unread reqs in the module: under some two dozen it still picks among enough, and the wait behind them is
+    # short
+    LIMIT = 24
     PART = 0.5  # of the response target: the rest is for reading and writing, or for the next front
 
     def __init__(self, shares):
--- a/martenrouter/decisions/heavy.py
+++ b/martenrouter/decisions/heavy.py
@@ -1,8 +1,8 @@
-"""Who is heavy, in bounded memory: Space-Saving (Metwally, Agrawal, El Abbadi, "Efficient Computation of Frequent and Top-k Elements
-in Data Streams", ICDT 2005) over amounts that halve with time.
+"""Who is heavy, in bounded memory: Space-Saving (Metwally, Agrawal, El Abbadi, "Efficient Computation of
+Frequent and Top-k Elements in Data Streams", ICDT 2005) over amounts that halve with time.
 
-A name that takes more than one in `size` of all is always among those kept; a name's count is over the truth by at most what the
-least kept one had when it came in (`over`).
+A name that takes more than one in `size` of all is always among those kept; a name's count is over the truth
+by at most what the least kept one had when it came in (`over`).
 """
 
 
--- a/martenrouter/decisions/learnt.py
+++ b/martenrouter/decisions/learnt.py
@@ -1,8 +1,8 @@
-"""What a front has learnt of its fleet, as plain data: health, paces, kept prefixes, rates. Not its open reqs: those are facts
-and belong to the edge.
+"""What a front has learnt of its fleet, as plain data: health, paces, kept prefixes, rates. Not its open
+reqs: those are facts and belong to the edge.
 
-Taken out of one instance of the module and put into another, with the time it lay around: sums halve by themselves since
-they carry the time they were brought up to date; what was kept is only probably kept still.
+Taken out of one instance of the module and put into another, with the time it lay around: sums halve by
+themselves since they carry the time they were brought up to date; what was kept is only probably kept still.
 """
 
 from martenrouter.rules import Engine, Pace, Sum
@@ -23,7 +23,8 @@
     ),
 )
 STALE = 60_000_000  # microseconds: kept text and reports older than a minute say nothing of a busy engine
-BORN_SLACK = 1_000_000  # a start told in wall time is converted anew by each front process; no engine starts in a second
+# a start told in wall time is converted anew by each front process; no engine starts in a second
+BORN_SLACK = 1_000_000
 VERSION = 1
 
 
@@ -100,8 +101,8 @@
 
 
 def put(front, told, now):
-    """Into a front that has its list already and no reqs yet. Engines that it doesn't list are passed over, and those that
-    were started since learn anew. Returns how many engines got something."""
+    """Into a front that has its list already and no reqs yet. Engines that it doesn't list are passed over,
+    and those that were started since learn anew. Returns how many engines got something."""
     old, count = now - told["at"] > STALE, 0
     for id, sums, values, kept in told["engines"]:
         engine = front.engines.get(id)
--- a/martenrouter/decisions/lengths.py
+++ b/martenrouter/decisions/lengths.py
@@ -1,5 +1,5 @@
-"""A prompt's length in tokens, guessed before any engine has told it: bytes over what a token of the group usually
-holds, learnt from the engines' own counts."""
+"""A prompt's length in tokens, guessed before any engine has told it: bytes over what a token of the group
+usually holds, learnt from the engines' own counts."""
 
 
 class Lengths:
--- a/martenrouter/decisions/membership.py
+++ b/martenrouter/decisions/membership.py
@@ -1,17 +1,18 @@
-"""What a front believes of the list of engines: which message counts, when a full list is asked for, when to connect.
+"""What a front believes of the list of engines: which message counts, when a full list is asked for, when to
+connect.
 
-`Membership` is told what the list service (or a file, or the list kept on disk) said, and when the connection to it came
-and went; it writes into `out`:
+`Membership` is told what the list service (or a file, or the list kept on disk) said, and when the connection
+to it came and went; it writes into `out`:
 
     out.listed(version, scope, rows)   the module's call, rows as the module takes them
     out.addresses(changed, whole)      engine id -> address, None for one that left
-    out.ask(epoch, version, after)     connect and ask from there; -1, -1 is the whole list; after: microseconds
-    out.drop()                         close the connection
+    out.ask(epoch, version, after)     connect and ask from there; -1, -1 is the whole list; after:
+    microseconds out.drop()                         close the connection
     out.keep(list)                     the list to be kept on disk
     out.noted(event, **facts)          for the log and the counters
 
-An older epoch, or an older version of the same one, never replaces a newer: a service that comes back from an old copy,
-or a second one that lags, would otherwise raise engines that have been told to drain.
+An older epoch, or an older version of the same one, never replaces a newer: a service that comes back from an
+old copy, or a second one that lags, would otherwise raise engines that have been told to drain.
 """
 
 UP, DRAINING, GONE = "up", "draining", "gone"
@@ -139,8 +140,9 @@
             self.births = {key: at for key, at in self.births.items() if key in live}
 
     def _born(self, now, wall, entry):
-        """A start told in wall time, on the front's own clock. Converted once: wall clocks step, and a start that
-        seemed to move would look like a restart. One from the future counts as now: colder is the safe side."""
+        """A start told in wall time, on the front's own clock. Converted once: wall clocks step, and a start
+        that seemed to move would look like a restart. One from the future counts as now: colder is the safe
+        side."""
         if not entry.start:
             return None
         key = entry.id, entry.start
--- a/martenrouter/decisions/periods.py
+++ b/martenrouter/decisions/periods.py
@@ -1,10 +1,12 @@
-"""Periods of a budget, in wall time: calendar ones (hour, day, month; UTC) and rolling ones. No clock; whole microseconds.
+"""Periods of a budget, in wall time: calendar ones (hour, day, month; UTC) and rolling ones. No clock; whole
+microseconds.
 
-A calendar period has a name ("2026-12-01", "2026-12", "2026-12-01T14") and an end. A rolling one holds the last `length` in slots, of
-which the oldest leaves as time goes on: never less than what was spent in the window, at most one slot's more.
+A calendar period has a name ("2026-12-01", "2026-12", "2026-12-01T14") and an end. A rolling one holds the
+last `length` in slots, of which the oldest leaves as time goes on: never less than what was spent in the
+window, at most one slot's more.
 
-Wall clocks are set back. A period that was begun is not begun again: time that goes back over a period's end counts to the period that
-is on, so that nothing is granted twice.
+Wall clocks are set back. A period that was begun is not begun again: time that goes back over a period's end
+counts to the period that is on, so that nothing is granted twice.
 """
 
 HOUR, DAY = 3_600_000_000, 86_400_000_000
@@ -13,7 +15,8 @@
 
 
 def civil(days):
-    """(year, month, day) of a day number from 1970-01-01, proleptic Gregorian (Hinnant, "chrono-Compatible Low-Level Date Algorithms")."""
+    """(year, month, day) of a day number from 1970-01-01, proleptic Gregorian (Hinnant, "chrono-Compatible
+    Low-Level Date Algorithms")."""
     days += 719_468
     era, of_era = days // 146_097, days % 146_097
     year_of_era = (of_era - of_era // 1460 + of_era // 36_524 - of_era // 146_096) // 365
--- a/martenrouter/decisions/reducing.py
+++ b/martenrouter/decisions/reducing.py
@@ -1,13 +1,16 @@
-"""Cuts a day down to the least that still shows a failure: delta debugging over its troubles, then over its sizes.
+"""Cuts a day down to the least that still shows a failure: delta debugging over its troubles, then over its
+sizes.
 
-After Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input" (IEEE TSE 2002): try halves, then ever smaller parts
-and what is left without them, until no single part can be left out. A generator: it yields candidates and is sent whether each
-still shows the failure, so that who plays them may do so wherever it likes; `budget` bounds how many are asked.
+After Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input" (IEEE TSE 2002): try halves,
+then ever smaller parts and what is left without them, until no single part can be left out. A generator: it
+yields candidates and is sent whether each still shows the failure, so that who plays them may do so wherever
+it likes; `budget` bounds how many are asked.
 """
 
 
 def reduce(parts, budget):
-    """Yields lists of parts; send(True) when the failure still shows. Returns the least list found (StopIteration's value)."""
+    """Yields lists of parts; send(True) when the failure still shows. Returns the least list found
+    (StopIteration's value)."""
     parts, count, asked = list(parts), 2, 0
     if parts:
         asked += 1
@@ -47,7 +50,8 @@
 
 
 def shrink(value, least, budget):
-    """Yields smaller numbers, by halves towards `least`; send(True) when the failure still shows. Returns the smallest found."""
+    """Yields smaller numbers, by halves towards `least`; send(True) when the failure still shows. Returns the
+    smallest found."""
     low, high, asked = least, value, 0
     while high - low > max(least, 1) * 0.1 and asked < budget:
         middle = (low + high) / 2
--- a/martenrouter/decisions/resampling.py
+++ b/martenrouter/decisions/resampling.py
@@ -1,8 +1,9 @@
-"""What a difference between two builds is worth: intervals by bootstrap over paired days. No I/O; chance is handed in.
+"""What a difference between two builds is worth: intervals by bootstrap over paired days. No I/O; chance is
+handed in.
 
-Days are the unit: reqs of one day share its troubles and say the same thing many times. Pairs (the same day under both builds) are
-drawn with replacement; the interval is the middle part of what such draws give. With under five pairs no interval is honest, and
-none is given.
+Days are the unit: reqs of one day share its troubles and say the same thing many times. Pairs (the same day
+under both builds) are drawn with replacement; the interval is the middle part of what such draws give. With
+under five pairs no interval is honest, and none is given.
 """
 
 LEAST_PAIRS = 5
@@ -15,7 +16,8 @@
 
 
 def interval(differences, random, draws=DRAWS, part=PART):
-    """(mean, low, high) of paired differences; low and high are None with too few. `random`: a seeded generator."""
+    """(mean, low, high) of paired differences; low and high are None with too few. `random`: a seeded
+    generator."""
     if not differences:
         return None, None, None
     if len(differences) < LEAST_PAIRS:
@@ -38,7 +40,8 @@
 
 
 def by_kind(pairs, random):
-    """`pairs`: (kinds of the day, difference). {kind: (days, mean, low, high)}: a day counts for each kind of trouble it holds."""
+    """`pairs`: (kinds of the day, difference). {kind: (days, mean, low, high)}: a day counts for each kind of
+    trouble it holds."""
     groups = {}
     for kinds, difference in pairs:
         for kind in kinds:
--- a/martenrouter/decisions/sharing.py
+++ b/martenrouter/decisions/sharing.py
@@ -1,10 +1,11 @@
 """Order between customers when the fleet, not the budget, is short: who of those that wait is taken next.
 
-Start-time fair queueing (Goyal, Vin, Cheng, "Start-time Fair Queuing", IEEE/ACM ToN 1997): a customer's req gets a start tag, the later of
-the system's virtual time and the finish of the customer's last one; finish is start plus cost over share. The least start is next. What a
-customer leaves unused is used by the others at once; when it is back it begins at the system's time, so that it neither gets back what it
-left nor pays for what others had. Importance goes first between reqs of different importance, within a bound: after `BOUND` reqs of higher
-importance in a row one of lower importance is taken.
+Start-time fair queueing (Goyal, Vin, Cheng, "Start-time Fair Queuing", IEEE/ACM ToN 1997): a customer's req
+gets a start tag, the later of the system's virtual time and the finish of the customer's last one; finish is
+start plus cost over share. The least start is next. What a customer leaves unused is used by the others at
+once; when it is back it begins at the system's time, so that it neither gets back what it left nor pays for
+what others had. Importance goes first between reqs of different importance, within a bound: after `BOUND`
+reqs of higher importance in a row one of lower importance is taken.
 """
 
 import heapq
--- a/martenrouter/decisions/streams.py
+++ b/martenrouter/decisions/streams.py
@@ -1,14 +1,16 @@
-"""Answers that have begun: the module's part ends with the first token, and what may still go wrong is chosen here.
+"""Answers that have begun: the module's part ends with the first token, and what may still go wrong is chosen
+here.
 
-A stream can break (reset, error, an end without a finish), stall, outlast its deadline, or be read too slowly by its
-client. Each ends with one final answer: pushed back where a retry is harmless, else aborted. Tokens that the client
-has by then stay with it; a retry starts anew.
+A stream can break (reset, error, an end without a finish), stall, outlast its deadline, or be read too slowly
+by its client. Each ends with one final answer: pushed back where a retry is harmless, else aborted. Tokens
+that the client has by then stay with it; a retry starts anew.
 """
 
 
 class Streams:
-    # A stream that waits behind a preempted answer pauses for a second or two: under that a stall is no news. Then
-    # thirty times the usual gap: in the stand-ins' steps none longer was seen at an engine that still wrote.
+    # A stream that waits behind a preempted answer pauses for a second or two: under that a stall is no news.
+    # Then thirty times the usual gap: in the stand-ins' steps none longer was seen at an engine that still
+    # wrote.
     LEAST, TIMES = 2_000_000, 30
     USUAL = 60_000  # a gap before any was seen: the common token target
 
--- a/martenrouter/decisions/takeover.py
+++ b/martenrouter/decisions/takeover.py
@@ -1,8 +1,9 @@
 """Who decides: the planner, or the edge by itself. No clock and no sockets: it is told what came when.
 
-The planner is in charge while it answers each round within a bound. When it doesn't, the edge takes over at once, under a new
-epoch; a planner that comes (back) gets all facts under another. One that keeps failing is let in ever more seldom, so
-that a planner which is slow rather than dead doesn't cost its bound again and again.
+The planner is in charge while it answers each round within a bound. When it doesn't, the edge takes over at
+once, under a new epoch; a planner that comes (back) gets all facts under another. One that keeps failing is
+let in ever more seldom, so that a planner which is slow rather than dead doesn't cost its bound again and
+again.
 """
 
 
@@ -45,9 +46,10 @@
 
     @classmethod
     def for_planner(cls, settings):
-        """Settings (the module's or the chain's) as a planner gets them: it lets held states go earlier, by as long as its silence may
-        last unseen, so that the limit is kept through a takeover too. Found by `rehearse planner-killed-long`: states held for 350 ms and
-        more where a planner had been stopped just before their release."""
+        """Settings (the module's or the chain's) as a planner gets them: it lets held states go earlier, by
+        as long as its silence may last unseen, so that the limit is kept through a takeover too. Found by
+        `rehearse planner-killed-long`: states held for 350 ms and more where a planner had been stopped just
+        before their release."""
         limit = settings["release_within"]
         return {**settings, "release_within": max(limit - cls.SILENT - cls.BEAT, limit // 3)}
 
--- a/martenrouter/decisions/wheel.py
+++ b/martenrouter/decisions/wheel.py
@@ -1,8 +1,9 @@
-"""A timing wheel: hundreds of thousands of things that fall due, most of which are taken back before. No clock; time is handed in.
+"""A timing wheel: hundreds of thousands of things that fall due, most of which are taken back before. No
+clock; time is handed in.
 
-Two levels: slots of a tick, and slots of a whole turn of the first. Putting in and taking out cost the same however many there are;
-what is taken out leaves nothing behind, where a heap would hold it until its time. Times are whole microseconds; a thing falls due in
-the tick after its time at the latest.
+Two levels: slots of a tick, and slots of a whole turn of the first. Putting in and taking out cost the same
+however many there are; what is taken out leaves nothing behind, where a heap would hold it until its time.
+Times are whole microseconds; a thing falls due in the tick after its time at the latest.
 """
 
 
@@ -44,7 +45,8 @@
         return True
 
     def due(self, now):
-        """Keys that have fallen due by now, in the order of their ticks, then of their putting in; they are taken out."""
+        """Keys that have fallen due by now, in the order of their ticks, then of their putting in; they are
+        taken out."""
         found, until = [], now // self.tick
         if not self.where:
             self.at = max(until, self.at)
--- a/martenrouter/drill/codec.py
+++ b/martenrouter/drill/codec.py
@@ -1,4 +1,5 @@
-"""The simulator's text wire: lines in, calls of the decision module out, and back. Renames, decides nothing."""
+"""The simulator's text wire: lines in, calls of the decision module out, and back. Renames, decides
+nothing."""
 
 from martenrouter.settings import told
 from martenrouter.settings.told import number
--- a/martenrouter/edge/books.py
+++ b/martenrouter/edge/books.py
@@ -1,7 +1,9 @@
-"""A front's budgets and ledger: who may be taken, what is charged, and that nobody is told done before it is on disk.
+"""A front's budgets and ledger: who may be taken, what is charged, and that nobody is told done before it is
+on disk.
 
-What was spent is a fact, so the books are the edge's, whoever decides placement. The choices are decisions/budgets.py and
-decisions/booking.py; this plays them: a thread writes to the ledger in groups, greenlets wait for their group.
+What was spent is a fact, so the books are the edge's, whoever decides placement. The choices are
+decisions/budgets.py and decisions/booking.py; this plays them: a thread writes to the ledger in groups,
+greenlets wait for their group.
 """
 
 import os
@@ -28,7 +30,8 @@
 
 
 class Leases(msgspec.Struct, forbid_unknown_fields=True):
-    """The file that hands out parts: until when (wall time in milliseconds), and customer -> front -> part of its limits."""
+    """The file that hands out parts: until when (wall time in milliseconds), and customer -> front -> part of
+    its limits."""
 
     until_ms: int
     parts: dict[str, dict[str, float]]
@@ -126,8 +129,8 @@
         )
 
     def changed(self, told):
-        """New limits from a settings file, under load: what is spent, reserved and open stays. Ledger, prices and the way to parts are
-        those of the start."""
+        """New limits from a settings file, under load: what is spent, reserved and open stays. Ledger, prices
+        and the way to parts are those of the start."""
         kept = {
             name: getattr(self.told, name)
             for name in ("ledger", "read_price", "write_price", "parts", "leases")
@@ -137,7 +140,8 @@
         self.log.info("budgets_changed", customers=len(told.customers))
 
     def _read_leases(self):
-        """The operator's file, when it is a newer one; a bad one is said and the old lease runs on to its end."""
+        """The operator's file, when it is a newer one; a bad one is said and the old lease runs on to its
+        end."""
         try:
             stat = os.stat(self.told.leases)
             if stat.st_mtime_ns == self.leases_seen:
@@ -222,12 +226,13 @@
         return False
 
     def read(self, r, prompt):
-        """An engine has counted the prompt; where the budget has no room for it, the answer ends at its first token."""
+        """An engine has counted the prompt; where the budget has no room for it, the answer ends at its first
+        token."""
         self.budgets.more(clock.now(), clock.wall(), r.id, len(r.texts), prompt)
 
     def settled(self, r, identity, prompt, then):
-        """The client gets its answer: charged for the prompt and what was written, once; `then(booked)` when it is on disk, or when it
-        can't be by shortly before the deadline."""
+        """The client gets its answer: charged for the prompt and what was written, once; `then(booked)` when
+        it is on disk, or when it can't be by shortly before the deadline."""
         now, wall = clock.now(), clock.wall()
         written = len(r.texts)
         self._turn(wall)
@@ -311,7 +316,8 @@
                 then(True)
 
     def _late(self, group):
-        """Those that can still wait are tried again; an answer that can't is given as an abort, and its charge taken back."""
+        """Those that can still wait are tried again; an answer that can't is given as an abort, and its
+        charge taken back."""
         now = clock.now()
         for entry, then, until in group:
             if now + AGAIN < until:
--- a/martenrouter/edge/client.py
+++ b/martenrouter/edge/client.py
@@ -16,7 +16,8 @@
 
 
 class Client:
-    """`heard(message)` is called with every message that comes, decoded, before anything else is done with it."""
+    """`heard(message)` is called with every message that comes, decoded, before anything else is done with
+    it."""
 
     def __init__(self, address, heard=None, within=5):
         """Raises OSError when there is no connection within `within` seconds."""
@@ -58,7 +59,8 @@
         return id
 
     def wait(self, id, within=None):
-        """The response, decoded. Raises Left when the connection ended first, gevent.Timeout past `within` seconds."""
+        """The response, decoded. Raises Left when the connection ended first, gevent.Timeout past `within`
+        seconds."""
         try:
             return self.calls[id].get(timeout=within)
         finally:
--- a/martenrouter/edge/clock.py
+++ b/martenrouter/edge/clock.py
@@ -14,6 +14,7 @@
 
 
 def follow(virtual_now, virtual_wall):
-    """From here on this whole process lives in a laboratory's time; what it gives are whole microseconds as well."""
+    """From here on this whole process lives in a laboratory's time; what it gives are whole microseconds as
+    well."""
     global now, wall
     now, wall = virtual_now, virtual_wall
--- a/martenrouter/edge/desk.py
+++ b/martenrouter/edge/desk.py
@@ -1,7 +1,8 @@
-"""The desk: an inbox, one round at a time, decisions into a writer (the hands). Whoever decides, the interface is the same:
-the edge's own chain in this process, or a planner at the other end of a channel.
+"""The desk: an inbox, one round at a time, decisions into a writer (the hands). Whoever decides, the
+interface is the same: the edge's own chain in this process, or a planner at the other end of a channel.
 
-Rounds are those of edge/rounds.py. While a planner has a round, what comes in waits for the next one; when the planner is silent for too long, the edge rebuilds its own chain from its facts and goes on.
+Rounds are those of edge/rounds.py. While a planner has a round, what comes in waits for the next one; when
+the planner is silent for too long, the edge rebuilds its own chain from its facts and goes on.
 """
 
 import traceback
@@ -24,8 +25,8 @@
 
 class Desk(Rounds):
     def __init__(self, make_chain, hands, facts, of_one, round_us, counters, log):
-        """`make_chain()` gives an empty decisions.chain.Chain; `facts()` all that one is rebuilt from, `of_one(id)` what
-        follows later of a req (edge/handover.py)."""
+        """`make_chain()` gives an empty decisions.chain.Chain; `facts()` all that one is rebuilt from,
+        `of_one(id)` what follows later of a req (edge/handover.py)."""
         super().__init__(round_us)
         self.make_chain, self.hands, self.facts, self.of_one = make_chain, hands, facts, of_one
         self.later = []  # reqs that the decider has still to be told of
@@ -52,7 +53,8 @@
             flow, self.flow = self.flow, {}
             inbox.append(("flowed", (flow,)))
         if self.later:
-            # last in the round: what came in before is part of these facts, what comes in after is news to the decider
+            # last in the round: what came in before is part of these facts, what comes in after is news to
+            # the decider
             some, self.later = self.later[: self.takeover.AT_ONCE], self.later[self.takeover.AT_ONCE :]
             inbox += [("adopt", (id, self.of_one(id))) for id in some]
             self.wake(CHAIN, self.round)
@@ -84,7 +86,8 @@
     # ---- a planner's ----
 
     def planner_came(self, link):
-        """A planner has greeted; it gets the facts in the next round, or when it may. `link` has send and close."""
+        """A planner has greeted; it gets the facts in the next round, or when it may. `link` has send and
+        close."""
         self.newcomer = link
         wait = max(self.takeover.not_before - clock.now(), 0)
         self.wake(BEAT, wait + 1)
@@ -139,7 +142,8 @@
         message = None
         if self.link.send(Round(self.takeover.epoch, self.seq, now, inbox)):
             while message is None and not self.waiting.ready():
-                # looked at again when the time is over: this process may not have run either, with the answer in hand
+                # looked at again when the time is over: this process may not have run either, with the answer
+                # in hand
                 self.waiting.wait(self.takeover.SILENT / 1e6)
                 gevent.sleep(0)
                 if not self.waiting.ready() and self.takeover.overdue(clock.now(), now):
--- a/martenrouter/edge/door.py
+++ b/martenrouter/edge/door.py
@@ -1,5 +1,5 @@
-"""The client door: JSON-RPC 2.0 over WebSocket (RFC 6455, by wsproto). A greenlet reads each connection; a second one
-exists only while there is something to be sent."""
+"""The client door: JSON-RPC 2.0 over WebSocket (RFC 6455, by wsproto). A greenlet reads each connection; a
+second one exists only while there is something to be sent."""
 
 import collections
 
@@ -36,8 +36,9 @@
         self.writing_since = None  # while a write is on; the door closes one that takes too long
 
     def send(self, message, spare=False):
-        """Queues one encoded message. False when too much is unsent already; `spare`: a final answer may go over by as
-        much again, past which the connection is closed (its client has read nothing for that long)."""
+        """Queues one encoded message. False when too much is unsent already; `spare`: a final answer may go
+        over by as much again, past which the connection is closed (its client has read nothing for that
+        long)."""
         if not self.open:
             return False
         limit = self.door.unsent_limit
@@ -152,8 +153,8 @@
 
 class Door:
     def __init__(self, listen, limits, front, counters, record, log):
-        """`listen`: (host, port); `limits`: settings.front.Limits; `front` takes asked, cancelled, answered, client_left
-        and status."""
+        """`listen`: (host, port); `limits`: settings.front.Limits; `front` takes asked, cancelled, answered,
+        client_left and status."""
         self.front, self.counters, self.record, self.log = front, counters, record, log
         self.frame_limit, self.unsent_limit = limits.frame_bytes, limits.unsent_bytes
         self.unread_within, self.most = int(limits.unread_within_ms * 1000), limits.connections
--- a/martenrouter/edge/engines.py
+++ b/martenrouter/edge/engines.py
@@ -1,7 +1,8 @@
 """Connections to engines: one greenlet carries one forward over one connection and says how it ended.
 
-Every forward ends exactly once, in the module's words. What proves that nothing ran: no connection (unreachable), and
-the statuses that wire/engine.py lists. A reset, even before a byte of answer, proves nothing: the req was on the way.
+Every forward ends exactly once, in the module's words. What proves that nothing ran: no connection
+(unreachable), and the statuses that wire/engine.py lists. A reset, even before a byte of answer, proves
+nothing: the req was on the way.
 """
 
 import gevent
@@ -45,7 +46,8 @@
                 "forward_broke", forward=forward.id, engine=forward.engine, ending=ending, why=why.why
             )
         except Exception as why:
-            # guards against a fault of this process: a forward without an end would be waited for to its request's deadline
+            # guards against a fault of this process: a forward without an end would be waited for to its
+            # request's deadline
             ending, note = "unreachable" if connection is None else "reset", 0
             self.counters["forward_failed"] += 1
             self.log.error(
@@ -132,7 +134,8 @@
                     raise Stopped()  # its answer ends here: the connection is closed, and the engine stops
 
     def _pieces(self, forward, pieces, texts, hear):
-        """Texts of an answer's pieces are put in `texts`; True when the answer said that it is whole. Raises BadAnswer."""
+        """Texts of an answer's pieces are put in `texts`; True when the answer said that it is whole. Raises
+        BadAnswer."""
         finished = False
         for piece in pieces:
             if piece is None:
--- a/martenrouter/edge/facts.py
+++ b/martenrouter/edge/facts.py
@@ -1,7 +1,8 @@
-"""What the edge knows for certain: open conversations, their forwards, tool calls, what is held where, what was answered.
+"""What the edge knows for certain: open conversations, their forwards, tool calls, what is held where, what
+was answered.
 
-A `Req` is the one record of an open `generate`: the answer so far, calls and results, forwards, what is held, deadline, who
-listens. A planner in another process is rebuilt from these.
+A `Req` is the one record of an open `generate`: the answer so far, calls and results, forwards, what is held,
+deadline, who listens. A planner in another process is rebuilt from these.
 """
 
 from martenrouter.decisions.conversations import leg_id
@@ -65,8 +66,9 @@
         self.listeners, self.left_at = [], None
         self.answered = self.swamped = self.goes_on = False
         self.usage, self.finish, self.prompt_tokens = [0, 0], None, 0
-        # what a decider is rebuilt from: `arrived` as it was posted, since when this leg, since when what is held waits,
-        # where its state was read or kept, the first forward of the leg that may have run (n, engine, sent)
+        # what a decider is rebuilt from: `arrived` as it was posted, since when this leg, since when what is
+        # held waits, where its state was read or kept, the first forward of the leg that may have run (n,
+        # engine, sent)
         self.told, self.conn_id, self.leg_at, self.since = None, 0, arrived, arrived
         self.reader, self.effect, self.rewrites, self.paused = None, None, 0, False
 
--- a/martenrouter/edge/front.py
+++ b/martenrouter/edge/front.py
@@ -1,4 +1,5 @@
-"""One front as a process: its hands (edge/hands.py) put together with a desk, a client door, connections to engines, the list."""
+"""One front as a process: its hands (edge/hands.py) put together with a desk, a client door, connections to
+engines, the list."""
 
 import os
 import signal
@@ -15,8 +16,8 @@
 from martenrouter.edge.desk import Desk
 from martenrouter.edge.door import Door
 from martenrouter.edge.engines import Engines
-from martenrouter.edge.hands import Hands
 from martenrouter.edge.handover import facts, of_one
+from martenrouter.edge.hands import Hands
 from martenrouter.edge.loop import LoopWatch
 from martenrouter.edge.planner_door import PlannerDoor
 from martenrouter.edge.roster import Roster
--- a/martenrouter/edge/handover.py
+++ b/martenrouter/edge/handover.py
@@ -1,8 +1,11 @@
-"""An edge's facts as plain data, from which a decider is rebuilt: a planner that connects, or the edge's own when it takes over.
+"""An edge's facts as plain data, from which a decider is rebuilt: a planner that connects, or the edge's own
+when it takes over.
 
-Reqs that need deciding come at once; begun answers and pauses without a state, of which there may be thousands, follow a few
-a round (`of_one`), so that neither program's loop is held for long. Events that were posted and not yet decided are not part of them and are dropped with the old decider: each is a fact already
-(a read that ended is a held state, a call that was answered has its result), and what was decided and not done never was.
+Reqs that need deciding come at once; begun answers and pauses without a state, of which there may be
+thousands, follow a few a round (`of_one`), so that neither program's loop is held for long. Events that were
+posted and not yet decided are not part of them and are dropped with the old decider: each is a fact already
+(a read that ended is a held state, a call that was answered has its result), and what was decided and not
+done never was.
 """
 
 from martenrouter.decisions.conversations import ANSWERED, OUT, QUEUED
--- a/martenrouter/edge/hands.py
+++ b/martenrouter/edge/hands.py
@@ -1,9 +1,11 @@
-"""A front's hands: owns the facts, plays what a desk decides, and sees to it that each req is answered once. No sockets here.
-
-It is the writer that decisions go into (`forward`, `push_back`, `abort`, `cancel`, `let_go`, `wake`, …). A decision about
-a req that is finished, or a forward that is over, does nothing and is counted: a decider in another process may be late.
-What it is put together with (`desk`, `engines`, and the connections that call `asked`, `answered`, `cancelled`, `client_left`)
-is on sockets in a running front (edge/front.py) and in virtual time in the laboratory.
+"""A front's hands: owns the facts, plays what a desk decides, and sees to it that each req is answered once.
+No sockets here.
+
+It is the writer that decisions go into (`forward`, `push_back`, `abort`, `cancel`, `let_go`, `wake`, …). A
+decision about a req that is finished, or a forward that is over, does nothing and is counted: a decider in
+another process may be late. What it is put together with (`desk`, `engines`, and the connections that call
+`asked`, `answered`, `cancelled`, `client_left`) is on sockets in a running front (edge/front.py) and in
+virtual time in the laboratory.
 """
 
 import collections
@@ -23,8 +25,8 @@
 
 class Hands:
     def __init__(self, settings, record, log):
-        """`desk` and `engines` are set by who puts the front together; `engines` takes start(forward, hear), stop(forward)
-        and release(engine, forward id, trace)."""
+        """`desk` and `engines` are set by who puts the front together; `engines` takes start(forward, hear),
+        stop(forward) and release(engine, forward id, trace)."""
         self.settings, self.record, self.log = settings, record, log
         self.counters = collections.Counter()
         self.groups = {group.name: group for group in settings.groups}
@@ -49,7 +51,8 @@
         return sum(not r.answered for r in self.reqs.values())
 
     def look_after(self, now):
-        """Answers what a failed round has left behind, and gives up what nobody came back for. Called each some ten ms."""
+        """Answers what a failed round has left behind, and gives up what nobody came back for. Called each
+        some ten ms."""
         for r in [r for r in self.reqs.values() if now >= r.deadline and not r.answered]:
             self.counters["answered_overdue"] += 1
             self.desk.post("gone", r.id)
@@ -159,7 +162,8 @@
         return None
 
     def _known(self, conn, rpc_id, told, digest):
-        """Whether a key was used before: the open req is joined, a final answer that is kept is given again."""
+        """Whether a key was used before: the open req is joined, a final answer that is kept is given
+        again."""
         at = told.customer, told.key
         r, kept = self.keys.get(at), self.kept.get(at)
         if kept and kept.until <= clock.now():
@@ -181,7 +185,8 @@
         conn.reqs[rpc_id] = r
         self._tell(listener, r.texts)
         if alone:
-            # what was asked of a connection that is gone is asked again, as the same call: its client runs it once
+            # what was asked of a connection that is gone is asked again, as the same call: its client runs it
+            # once
             for call in r.calls.values():
                 if call.wanted and call.result is None:
                     self._send_call(r, call)
@@ -201,7 +206,8 @@
                 self.counters["client_too_slow"] += 1
 
     def answered(self, conn, answer):
-        """A client's response to tools/call; late, repeated or unknown ones change nothing and are counted."""
+        """A client's response to tools/call; late, repeated or unknown ones change nothing and are
+        counted."""
         r, call = self.tool_calls.get(answer.id, (None, None))
         if r is None or not any(listener.conn is conn for listener in r.listeners):
             self.counters["tool_answer_unknown"] += 1
@@ -291,7 +297,8 @@
         r.texts += texts
         r.step_texts += texts
         if self.books is not None and not self.books.wrote(r):
-            # the token that would pass the cap is not the client's; the answer ends before it, and its engine hears of it
+            # the token that would pass the cap is not the client's; the answer ends before it, and its engine
+            # hears of it
             del r.texts[len(r.texts) - len(texts) :], r.step_texts[len(r.step_texts) - len(texts) :]
             forward.finish = "budget"
             self.ended(forward, "done", 0)
@@ -304,7 +311,8 @@
             self.desk.post("swamped", r.id)
 
     def calls(self, forward, whole):
-        """Tool calls that are complete; each has an identity that outlives the writer: its place and what it asks."""
+        """Tool calls that are complete; each has an identity that outlives the writer: its place and what it
+        asks."""
         if not whole or not self._begun(forward):
             return
         r = forward.req
@@ -328,7 +336,8 @@
                 r.step_calls.append(call)
 
     def _changed(self, r, old):
-        """Written anew, the engine asks for something else at the place of a call: that one is left out of the answer."""
+        """Written anew, the engine asks for something else at the place of a call: that one is left out of
+        the answer."""
         self.counters["tool_call_changed"] += 1
         if old in r.step_calls:
             r.step_calls.remove(old)
@@ -367,7 +376,8 @@
         if ending == "full" and note == 1:
             r.held = None
         if forward.role == "read" and ending not in ("read", "full", "unreachable", "error"):
-            # the read may have ended there while this end of the connection was being closed: nobody would know of it
+            # the read may have ended there while this end of the connection was being closed: nobody would
+            # know of it
             self._release(forward.engine, forward.id, r)
         elif (
             r.tools
@@ -437,7 +447,8 @@
         self._forget(r)
 
     def _forget(self, r):
-        """A req stays known until its last forward is over and its state let go: answering releases nothing."""
+        """A req stays known until its last forward is over and its state let go: answering releases
+        nothing."""
         if r.answered and not r.forwards and r.held is None:
             self.reqs.pop(r.id, None)
 
@@ -447,8 +458,8 @@
         self.engines.stop(forward)
 
     def _answer(self, r, final, ending, reason):
-        """The final answer, to all who listen; from here on nothing is sent for the req. `final` makes the message for a
-        JSON-RPC id; None: nobody is left to hear it."""
+        """The final answer, to all who listen; from here on nothing is sent for the req. `final` makes the
+        message for a JSON-RPC id; None: nobody is left to hear it."""
         if r.answered:
             return
         r.answered = True
@@ -596,7 +607,8 @@
             self._result(r, r.calls[identity], "error: " + why, why)
 
     def next_leg(self, id, anew):
-        """The next leg's prompt: the calls and their results after the step, or the answer so far to be gone on with."""
+        """The next leg's prompt: the calls and their results after the step, or the answer so far to be gone
+        on with."""
         r = self._open(id)
         if r is None:
             return
--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -1,7 +1,7 @@
 """A TCP connection as a greenlet uses it when it mostly waits: it waits first and reads then.
 
-gevent's own socket tries to read before it waits; on a stream that sends a token each fiftieth of a second every first try
-fails. Measured by bench/front.py: a tenth of a front's processor time at 130 reqs a second.
+gevent's own socket tries to read before it waits; on a stream that sends a token each fiftieth of a second
+every first try fails. Measured by bench/front.py: a tenth of a front's processor time at 130 reqs a second.
 """
 
 import array
@@ -25,8 +25,8 @@
     given = None  # when it was last put aside for reuse, in microseconds; None for a new one
 
     def __init__(self, address, within, made=None):
-        """Raises OSError when there is no connection within `within` seconds. `made`: a gevent socket that is connected
-        already, such as an accepted one."""
+        """Raises OSError when there is no connection within `within` seconds. `made`: a gevent socket that is
+        connected already, such as an accepted one."""
         made = made or gevent_socket.create_connection(address, timeout=within)
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = socket.socket(fileno=made.detach())
@@ -50,15 +50,16 @@
         self._hub.wait(self._came)
 
     def when_readable(self, callback):
-        """Calls `callback()` from the event loop, once for each turn in which there is something to read, until `stop_watching`."""
+        """Calls `callback()` from the event loop, once for each turn in which there is something to read,
+        until `stop_watching`."""
         self._came.start(callback)
 
     def stop_watching(self):
         self._came.stop()
 
     def peek(self, most):
-        """What has come and nobody has read, up to `most` bytes, left where it is; b"" at the end, None where nothing has
-        come. Raises OSError."""
+        """What has come and nobody has read, up to `most` bytes, left where it is; b"" at the end, None where
+        nothing has come. Raises OSError."""
         try:
             return self._sock.recv(most, socket.MSG_PEEK)
         except BlockingIOError:
@@ -72,7 +73,8 @@
     # ---- sending ----
 
     def sendall(self, data, check=None):
-        """Sends all of `data`. `check()`, if given, is called right before each part that goes out and may raise. Raises OSError."""
+        """Sends all of `data`. `check()`, if given, is called right before each part that goes out and may
+        raise. Raises OSError."""
         rest = memoryview(data)
         while rest:
             if check is not None:
@@ -97,7 +99,8 @@
             room.close()
 
     def unsent(self):
-        """Bytes that were given to the system and that the peer's machine has not taken yet; 0 where the system can't say."""
+        """Bytes that were given to the system and that the peer's machine has not taken yet; 0 where the
+        system can't say."""
         count = array.array("i", [0])
         try:
             fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, count)
--- a/martenrouter/edge/lines.py
+++ b/martenrouter/edge/lines.py
@@ -26,7 +26,8 @@
         """`kept`: decisions.connections.Connections; `connect_within` in microseconds."""
         self.kept, self.connect_within, self.counters = kept, connect_within / 1e6, counters
         self.addresses = {}  # engine -> (host, port)
-        self.left = {}  # of engines that left the list: what is still held there is let go, nothing else is sent
+        # of engines that left the list: what is still held there is let go, nothing else is sent
+        self.left = {}
 
     def moved(self, changed):
         """News of addresses; connections to a process that left are closed."""
@@ -51,7 +52,8 @@
             connection.close()
 
     def _connect(self, engine, also_left=False, within=None):
-        """A kept connection, else a new one within `within` seconds (else the settings' limit). Raises Broke."""
+        """A kept connection, else a new one within `within` seconds (else the settings' limit). Raises
+        Broke."""
         while True:
             connection, closing = self.kept.take(clock.now(), engine)
             self._close(closing)
@@ -72,7 +74,8 @@
         return connection
 
     def stop(self, forward):
-        """Closes a forward that is out, of which the end has been said already, whatever its greenlet had got to."""
+        """Closes a forward that is out, of which the end has been said already, whatever its greenlet had got
+        to."""
         greenlet = forward.greenlet
         if greenlet is not None and greenlet is not gevent.getcurrent():
             greenlet.kill(Stopped, block=False)
--- a/martenrouter/edge/log.py
+++ b/martenrouter/edge/log.py
@@ -1,6 +1,7 @@
 """Structured log lines on standard error (structlog), for a person or as JSON.
 
-A log that can't be written costs no request: a line that fails, or that a full pipe would hold up, is dropped.
+A log that can't be written costs no request: a line that fails, or that a full pipe would hold up, is
+dropped.
 """
 
 import logging
--- a/martenrouter/edge/loop.py
+++ b/martenrouter/edge/loop.py
@@ -1,7 +1,8 @@
-"""How long the loop of this process was held at a time: a greenlet that should wake each few milliseconds notes how late it is.
+"""How long the loop of this process was held at a time: a greenlet that should wake each few milliseconds
+notes how late it is.
 
-What holds a loop holds all streams alike, so this is the figure behind a pause between tokens that no engine made. A machine
-that doesn't run the process shows here too: compare with the planner's and the engines' own.
+What holds a loop holds all streams alike, so this is the figure behind a pause between tokens that no engine
+made. A machine that doesn't run the process shows here too: compare with the planner's and the engines' own.
 """
 
 import gevent
--- a/martenrouter/edge/planner_door.py
+++ b/martenrouter/edge/planner_door.py
@@ -1,4 +1,5 @@
-"""Where a planner connects: a Unix socket that only this user may open. One planner at a time; a second one is refused."""
+"""Where a planner connects: a Unix socket that only this user may open. One planner at a time; a second one
+is refused."""
 
 import os
 import stat
--- a/martenrouter/edge/roster.py
+++ b/martenrouter/edge/roster.py
@@ -16,7 +16,8 @@
 
 class Roster:
     def __init__(self, name, source, seed, post, moved, counters, record, log):
-        """`source`: settings.front.ListSource, its service already a pair or None. `post` hands calls to the desk,
+        """`source`: settings.front.ListSource, its service already a pair or None. `post` hands calls to the
+        desk,
         `moved` takes changed addresses."""
         self.name, self.source = name, source
         self.post, self.addresses = post, moved
--- a/martenrouter/edge/rounds.py
+++ b/martenrouter/edge/rounds.py
@@ -1,6 +1,7 @@
 """Rounds: an inbox, marks that fall due, and one greenlet that plays what came in, one round at a time.
 
-Greenlets post what they saw and never decide. A round takes all that came in, in the order it came; rounds lie at least
+Greenlets post what they saw and never decide. A round takes all that came in, in the order it came; rounds
+lie at least
 `round` microseconds apart, so that under load many events share the cost of one.
 """
 
@@ -14,7 +15,8 @@
 
 
 class Rounds:
-    """`play(now, marks)` of a subclass plays one round: `self.inbox` holds (call, arguments), `marks` those due."""
+    """`play(now, marks)` of a subclass plays one round: `self.inbox` holds (call, arguments), `marks` those
+    due."""
 
     def __init__(self, round_us):
         self.round = round_us
@@ -43,7 +45,8 @@
             try:
                 self._once(last)
             except Exception:
-                # without rounds every request would be left to its deadline; what is still in the inbox is played next
+                # without rounds every request would be left to its deadline; what is still in the inbox is
+                # played next
                 self.faults += 1
                 gevent.sleep(AFTER_FAULT)
 
--- a/martenrouter/edge/send_buffer.py
+++ b/martenrouter/edge/send_buffer.py
@@ -8,14 +8,16 @@
 
 
 class SendBuffer:
-    """Sends at once what the system takes; the rest is sent by a greenlet that exists only while there is some.
+    """Sends at once what the system takes; the rest is sent by a greenlet that exists only while there is
+    some.
 
-    What is being sent stays in the buffer until the system has taken it: so nothing put later can pass it, and `empty` is
-    true only when all has gone out.
+    What is being sent stays in the buffer until the system has taken it: so nothing put later can pass it,
+    and `empty` is true only when all has gone out.
     """
 
     def __init__(self, line, limit, failed, drained):
-        """`limit`: bytes that may wait; `failed(why)` is called when the connection breaks or more than that waits,
+        """`limit`: bytes that may wait; `failed(why)` is called when the connection breaks or more than that
+        waits,
         `drained()` when a buffer that held something is empty."""
         self._line, self._limit, self._failed, self._drained = line, limit, failed, drained
         self._rest, self._sender = bytearray(), None
--- a/martenrouter/lab/audit.py
+++ b/martenrouter/lab/audit.py
@@ -1,6 +1,8 @@
-"""Checks a rehearsal's ledgers against its traffic: what clients got and engines counted, never the fronts' own word of it.
+"""Checks a rehearsal's ledgers against its traffic: what clients got and engines counted, never the fronts'
+own word of it.
 
-Read are the traffic records of clients and engines, and the export files that the ledgers give once all fronts have stopped.
+Read are the traffic records of clients and engines, and the export files that the ledgers give once all
+fronts have stopped.
 """
 
 import collections
@@ -24,8 +26,8 @@
 
 
 def audit(told, exports, budgets, fronts):
-    """`told`: traffic records; `exports`: as booking.reconcile takes them; `budgets`: settings.front.Budgets. A plain value: breaks, each
-    (what, req, message), and figures."""
+    """`told`: traffic records; `exports`: as booking.reconcile takes them; `budgets`: settings.front.Budgets.
+    A plain value: breaks, each (what, req, message), and figures."""
     sums = booking.reconcile(exports)
     charges = {}
     breaks = [
--- a/martenrouter/lab/catalogue.py
+++ b/martenrouter/lab/catalogue.py
@@ -1,7 +1,8 @@
-"""Troubles as data: kinds with their ranges, and days drawn from them by a seed. Correlated ones hit a cell, a zone or a kind at once.
+"""Troubles as data: kinds with their ranges, and days drawn from them by a seed. Correlated ones hit a cell,
+a zone or a kind at once.
 
-The ranges are those of a bad evening, not of the end of the world: a day drawn has some troubles that overlap, and a fleet that is
-loaded but not, on average, overloaded.
+The ranges are those of a bad evening, not of the end of the world: a day drawn has some troubles that
+overlap, and a fleet that is loaded but not, on average, overloaded.
 """
 
 import random
@@ -13,7 +14,8 @@
 
 
 class Trouble(msgspec.Struct, frozen=True):
-    """`parts`: (fault kind, seconds after the trouble's begin). `length` in seconds, `value` as the kind needs, each a range."""
+    """`parts`: (fault kind, seconds after the trouble's begin). `length` in seconds, `value` as the kind
+    needs, each a range."""
 
     name: str
     about: str
@@ -166,7 +168,8 @@
     )
 }
 
-# fronts, cells, readers and writers a cell. Rates follow from the writers: each ends some 19 answers a second.
+# fronts, cells, readers and writers a cell. Rates follow from the writers: each ends some 19 answers a
+# second.
 SIZES = {
     "tiny": (2, 1, 1, 2),
     "small": (2, 2, 2, 4),
@@ -204,8 +207,8 @@
 
 
 def draw(seed, size="small", seconds=15.0, load=None, troubles=None, count=None, planners=False):
-    """A day drawn by its seed. `load`: part of what the writers can do; `troubles`: names to draw from; `count`: how many.
-    Raises BadSettings for an unknown size or trouble."""
+    """A day drawn by its seed. `load`: part of what the writers can do; `troubles`: names to draw from;
+    `count`: how many. Raises BadSettings for an unknown size or trouble."""
     if size not in SIZES:
         raise BadSettings("size %s: there are %s" % (size, ", ".join(SIZES)))
     for name in troubles or ():
--- a/martenrouter/lab/compare.py
+++ b/martenrouter/lab/compare.py
@@ -1,4 +1,5 @@
-"""Builds compared on the same days, paired: means, intervals by bootstrap, a table for each kind of trouble."""
+"""Builds compared on the same days, paired: means, intervals by bootstrap, a table for each kind of
+trouble."""
 
 import random
 
@@ -13,8 +14,8 @@
 
 
 def tables(runs, names, seed=1):
-    """`runs`: {(build name, scenario name, seed): (scenario, Kept)}; `names`: builds, the first is what others are set against.
-    A plain value that `text` prints."""
+    """`runs`: {(build name, scenario name, seed): (scenario, Kept)}; `names`: builds, the first is what
+    others are set against. A plain value that `text` prints."""
     first, days = names[0], sorted({key[1:] for key in runs})
     whole = [day for day in days if all((name, *day) in runs for name in names)]
     told = {"days": len(whole), "against": first, "builds": [], "kinds": {}}
@@ -47,8 +48,8 @@
 
 def text(told):
     lines = [
-        "%d days, each under every build; service: part of the reqs done with their first token in time (stand-in engines, emulated)"
-        % told["days"],
+        "%d days, each under every build; service: part of the reqs done with their first token in time "
+        "(stand-in engines, emulated)" % told["days"],
         "%-28s %8s %12s %10s   difference to %s, 95%% interval"
         % ("build", "service", "p50 first ms", "rules broken", told["against"]),
     ]
--- a/martenrouter/lab/emulator/engines.py
+++ b/martenrouter/lab/emulator/engines.py
@@ -1,6 +1,8 @@
-"""Engines in virtual time: the stand-ins' model with the stand-ins' protocol and faults, messages as calls that take a hop.
+"""Engines in virtual time: the stand-ins' model with the stand-ins' protocol and faults, messages as calls
+that take a hop.
 
-What standins/engine.py says over HTTP is said here to the front's hands directly, with the same endings, proofs and records.
+What standins/engine.py says over HTTP is said here to the front's hands directly, with the same endings,
+proofs and records.
 """
 
 import msgspec
@@ -10,7 +12,8 @@
 from martenrouter.wire.engine import Usage
 from martenrouter.wire.tools import Whole
 
-HOP = 400  # microseconds between two sockets of a machine, with the turn of the program behind: as seen in bench.front
+# microseconds between two sockets of a machine, with the turn of the program behind: as seen in bench.front
+HOP = 400
 
 
 class Call:
--- a/martenrouter/lab/emulator/events.py
+++ b/martenrouter/lab/emulator/events.py
@@ -1,13 +1,15 @@
-"""The emulator's queue of events: by time, then by the order in which they were put in. Times are whole microseconds.
+"""The emulator's queue of events: by time, then by the order in which they were put in. Times are whole
+microseconds.
 
-A wheel: events of the bucket that is on lie in a heap, those of later buckets unsorted in a list of their own, which becomes the
-heap when its time has come. Most events lie a few milliseconds ahead, so that the heap stays small; see bench/emulator.py for the
-measure against one heap. Both give the same order.
+A wheel: events of the bucket that is on lie in a heap, those of later buckets unsorted in a list of their
+own, which becomes the heap when its time has come. Most events lie a few milliseconds ahead, so that the heap
+stays small; see bench/emulator.py for the measure against one heap. Both give the same order.
 """
 
 import heapq
 
-SHIFT = 10  # a bucket of 1,024 us: about the fronts' round, so that a bucket holds what one round of all fronts causes
+# a bucket of 1,024 us: about the fronts' round, so that a bucket holds what one round of all fronts causes
+SHIFT = 10
 
 
 class Wheel:
@@ -30,7 +32,8 @@
             heapq.heappush(self._order, bucket)
 
     def run(self, until):
-        """Plays all events up to and with `until`. What events raise goes out; the queue can be gone on with."""
+        """Plays all events up to and with `until`. What events raise goes out; the queue can be gone on
+        with."""
         pop = heapq.heappop
         while True:
             near = self._near
--- a/martenrouter/lab/emulator/fronts.py
+++ b/martenrouter/lab/emulator/fronts.py
@@ -1,4 +1,5 @@
-"""A front in virtual time: its real hands, desk, chain, module and membership; the ways in and out are calls that take a hop."""
+"""A front in virtual time: its real hands, desk, chain, module and membership; the ways in and out are calls
+that take a hop."""
 
 import random
 import time
@@ -9,8 +10,8 @@
 from martenrouter.decisions.takeover import Takeover
 from martenrouter.edge.books import Books
 from martenrouter.edge.desk import Desk
-from martenrouter.edge.hands import Hands
 from martenrouter.edge.handover import facts, of_one
+from martenrouter.edge.hands import Hands
 from martenrouter.lab.emulator.engines import HOP, Port
 from martenrouter.settings import front as settings_of
 from martenrouter.wire import jsonrpc
@@ -28,8 +29,9 @@
 
 
 class VirtualDesk(Desk):
-    """Rounds as in a running front: at least `round` apart, each with all that came in by then. Two programs are played by their
-    takeover: while the planner is stopped its rounds are lost, and the edge goes on from its facts after the bound."""
+    """Rounds as in a running front: at least `round` apart, each with all that came in by then. Two programs
+    are played by their takeover: while the planner is stopped its rounds are lost, and the edge goes on from
+    its facts after the bound."""
 
     def __init__(self, world, make_chain, make_planners, hands, round_us, planner):
         """`make_planners()` gives a chain as a planner makes it."""
--- a/martenrouter/lab/emulator/people.py
+++ b/martenrouter/lab/emulator/people.py
@@ -1,4 +1,5 @@
-"""Clients in virtual time: what standins/clients.py does with greenlets, told as events. The same draws, the same records."""
+"""Clients in virtual time: what standins/clients.py does with greenlets, told as events. The same draws, the
+same records."""
 
 import msgspec
 
--- a/martenrouter/lab/emulator/policies.py
+++ b/martenrouter/lab/emulator/policies.py
@@ -1,5 +1,6 @@
-"""Decisions that can be played: as built, and baselines. A baseline is the same chain and module with one choice replaced, so that
-the rules are kept alike and only that choice is compared; none of them is offered to a running front.
+"""Decisions that can be played: as built, and baselines. A baseline is the same chain and module with one
+choice replaced, so that the rules are kept alike and only that choice is compared; none of them is offered to
+a running front.
 """
 
 import random
--- a/martenrouter/lab/emulator/runs.py
+++ b/martenrouter/lab/emulator/runs.py
@@ -30,8 +30,8 @@
 def figures(tries, targets):
     """Figures of a run's tries. `targets`: endpoint group -> microseconds wanted to the first token.
 
-    `service`: of the reqs, a client's retries after a pushback being the same one, the part that was done with its first token as
-    soon as wanted, counted from its first try.
+    `service`: of the reqs, a client's retries after a pushback being the same one, the part that was done
+    with its first token as soon as wanted, counted from its first try.
     """
     endings = collections.Counter(row[3] for row in tries)
     firsts = sorted(row[1] - row[0] for row in tries if row[1] is not None)
--- a/martenrouter/lab/emulator/world.py
+++ b/martenrouter/lab/emulator/world.py
@@ -1,7 +1,9 @@
-"""A day in virtual time: fronts, engines, list service and clients on one queue of events, and what goes wrong when.
+"""A day in virtual time: fronts, engines, list service and clients on one queue of events, and what goes
+wrong when.
 
-The same for a seed, to the byte: all chance comes from generators seeded by the day's name and seed, all time from the queue. One
-process plays one day; the process lives in the day's time (edge/clock.py), so days are not mixed in one process.
+The same for a seed, to the byte: all chance comes from generators seeded by the day's name and seed, all time
+from the queue. One process plays one day; the process lives in the day's time (edge/clock.py), so days are
+not mixed in one process.
 """
 
 import random
@@ -25,13 +27,15 @@
 
 
 class Day:
-    """What came of a day, one row a try: what reports and comparisons are made of. Times in microseconds of the day."""
+    """What came of a day, one row a try: what reports and comparisons are made of. Times in microseconds of
+    the day."""
 
     def __init__(self):
         self.tries = []  # [asked, first token or None, ended, ending, group, front, attempt, customer]
         self.loads = []  # (time, [(engine, reqs held, share of memory held)]), each second
         self.links = []  # (time, [(cell and way, prompt tokens out on it over all fronts)]), each second
-        self.deciders = []  # (time, fronts decided by their planner, fronts decided by their edge), each second
+        # (time, fronts decided by their planner, fronts decided by their edge), each second
+        self.deciders = []
         self.open = {}  # trace -> row that has no end yet
 
 
@@ -78,8 +82,9 @@
             self.records.append(fields)
 
     def play(self, tick=None):
-        """Plays the whole day: `seconds` of arrivals and what is left open after them. `tick(day seconds)` is called each second.
-        A day that would not end is cut at its deadlines' end: what is open then counts as unanswered."""
+        """Plays the whole day: `seconds` of arrivals and what is left open after them. `tick(day seconds)` is
+        called each second. A day that would not end is cut at its deadlines' end: what is open then counts as
+        unanswered."""
         queue, seconds = self.queue, self.scenario.seconds
         warm = int(self.scenario.list_late_ms * 1000) + 300_000
         queue.run(BEGIN + warm)
--- a/martenrouter/lab/fleet.py
+++ b/martenrouter/lab/fleet.py
@@ -7,8 +7,8 @@
 from martenrouter.standins.model import Spec
 
 ROLES = {"rd": "read", "wr": "write", "mix": "both"}
-# Small and slow engines, so that a few processes on one machine feel load: readers of some 6,000 tokens a second,
-# writers of a dozen answers at a token each 18 ms.
+# Small and slow engines, so that a few processes on one machine feel load: readers of some 6,000 tokens a
+# second, writers of a dozen answers at a token each 18 ms.
 SPECS = {
     "rd": {
         "slots": 6,
@@ -60,7 +60,8 @@
 
 
 def front_settings(scenario, seed, i, listen, made, **more):
-    """Settings of front number `i` as a plain dict. `made`: the engines' specs; `more` goes before the scenario's own."""
+    """Settings of front number `i` as a plain dict. `made`: the engines' specs; `more` goes before the
+    scenario's own."""
     return {
         "name": "front-%d" % i,
         "listen": listen,
@@ -111,7 +112,8 @@
 
 
 def targets(fault, made, rnd):
-    """Engines (or the front) that a fault hits; `made`: the engines' specs. Drawn in the scenario's order: the same for a seed."""
+    """Engines (or the front) that a fault hits; `made`: the engines' specs. Drawn in the scenario's order:
+    the same for a seed."""
     ids = sorted(made)
     if fault.target in ROLES:
         return [rnd.choice([id for id in ids if id.startswith(fault.target)])]
--- a/martenrouter/lab/hunt.py
+++ b/martenrouter/lab/hunt.py
@@ -1,7 +1,8 @@
-"""Looks for the days on which a build loses most or breaks a rule, and cuts one down to the least that still shows it.
+"""Looks for the days on which a build loses most or breaks a rule, and cuts one down to the least that still
+shows it.
 
-Days are drawn by seed. A day's loss is what the best of some baselines served more on the same day: a day that no way could serve is no
-loss of this one's. A broken rule goes before any loss.
+Days are drawn by seed. A day's loss is what the best of some baselines served more on the same day: a day
+that no way could serve is no loss of this one's. A broken rule goes before any loss.
 """
 
 import msgspec
@@ -62,7 +63,8 @@
 
 
 def cut_down(found, builds, store, workers, say):
-    """The least day that still shows what `found` shows: fewer troubles, then less time, load and engines. A Found."""
+    """The least day that still shows what `found` shows: fewer troubles, then less time, load and engines. A
+    Found."""
     names = [build.name for build in builds]
 
     def shows(day):
--- a/martenrouter/lab/load.py
+++ b/martenrouter/lab/load.py
@@ -1,7 +1,9 @@
-"""The load tool: open-loop reqs from several processes against fronts, or engines directly; what came of them in histograms.
+"""The load tool: open-loop reqs from several processes against fronts, or engines directly; what came of them
+in histograms.
 
-A req is due when the profile says so, whether or not earlier ones were answered, and its times count from then: a tool that falls
-behind shows it (`slip`) and doesn't make the front look quicker than its clients would find it.
+A req is due when the profile says so, whether or not earlier ones were answered, and its times count from
+then: a tool that falls behind shows it (`slip`) and doesn't make the front look quicker than its clients
+would find it.
 """
 
 import json
@@ -229,7 +231,8 @@
 
 
 def worker(job):
-    """What a process of a run does: a job's bytes; lines of JSON on standard output, the last one with all figures."""
+    """What a process of a run does: a job's bytes; lines of JSON on standard output, the last one with all
+    figures."""
     told = msgspec.json.decode(job)
     one = Worker(told)
 
@@ -266,8 +269,10 @@
 
 
 def run(profile, target, workers, raw=None, progress=lambda told: None):
-    """Plays a profile by several processes. `target`: {"fronts": [...]} or {"readers", "writers", "model"}; addresses are (host, port).
-    `raw`: a file for every req's row, compressed columns; `progress` takes a list of the workers' last words each second."""
+    """Plays a profile by several processes. `target`: {"fronts": [...]} or {"readers", "writers", "model"};
+    addresses are (host, port).
+    `raw`: a file for every req's row, compressed columns; `progress` takes a list of the workers' last words
+    each second."""
     with tempfile.TemporaryDirectory(prefix="load-") as directory:
         popens, files = [], []
         for i in range(workers):
--- a/martenrouter/lab/profile.py
+++ b/martenrouter/lab/profile.py
@@ -1,4 +1,5 @@
-"""What a load run is asked to do: phases of rates, mixes of reqs. Jsonnet files, checked; times in seconds unless named."""
+"""What a load run is asked to do: phases of rates, mixes of reqs. Jsonnet files, checked; times in seconds
+unless named."""
 
 import typing
 
@@ -73,11 +74,12 @@
 
 
 def due_times(profile, rnd, worker, workers):
-    """Seconds from the start at which this worker's reqs are due, as an iterator: a worker takes each `workers`-th, so that all
-    together keep the profile's rate and no worker waits for another."""
+    """Seconds from the start at which this worker's reqs are due, as an iterator: a worker takes each
+    `workers`-th, so that all together keep the profile's rate and no worker waits for another."""
     begin, count = 0.0, 0
     for phase in profile.phases:
-        # reqs due by t: rate t + slope t^2; the next is due where that has grown by one, or by an exponential's draw
+        # reqs due by t: rate t + slope t^2; the next is due where that has grown by one, or by an
+        # exponential's draw
         slope, total = (
             ((phase.rate if phase.to is None else phase.to) - phase.rate) / (2 * phase.seconds),
             0.0,
--- a/martenrouter/lab/rehearse.py
+++ b/martenrouter/lab/rehearse.py
@@ -1,4 +1,5 @@
-"""Plays a scenario through real fronts on loopback: list service, engines, fronts as processes, clients in this one."""
+"""Plays a scenario through real fronts on loopback: list service, engines, fronts as processes, clients in
+this one."""
 
 import os
 import random
@@ -18,14 +19,15 @@
 from martenrouter.settings.load import BadSettings
 from martenrouter.standins.clients import Clients
 from martenrouter.standins.clocks import watch_lag
-from martenrouter.state.ledger import Ledger, read_export
 from martenrouter.state import records
+from martenrouter.state.ledger import Ledger, read_export
 from martenrouter.state.records import Recorder
 from martenrouter.wire import http, nodes
 
 
 def played(scenario, seed, front_command=None, of=lambda directory, codes: records.read(directory)):
-    """Plays a day and gives `of(its directory of records, the fronts' exit codes)`, usually the records; nothing is left of it."""
+    """Plays a day and gives `of(its directory of records, the fronts' exit codes)`, usually the records;
+    nothing is left of it."""
     directory = tempfile.mkdtemp(prefix="records-")
     rehearsal = Rehearsal(scenario, seed, directory, front_command=front_command)
     try:
@@ -38,7 +40,8 @@
 
 class Rehearsal:
     def __init__(self, scenario, seed, records, speed=1.0, say=lambda text: None, front_command=None):
-        """`records`: an empty directory; `say` takes lines of progress; `front_command` replaces the front's program."""
+        """`records`: an empty directory; `say` takes lines of progress; `front_command` replaces the front's
+        program."""
         self.scenario, self.seed, self.dir, self.speed, self.say = scenario, seed, records, speed, say
         self.front_command = front_command
         self.record = Recorder(records, "driver")
@@ -48,8 +51,8 @@
         self.work = []
 
     def play(self):
-        """Runs the day; returns {front: exit code}. Everything started is stopped, whatever happens. Raises BadSettings for a day
-        that only the emulator can play."""
+        """Runs the day; returns {front: exit code}. Everything started is stopped, whatever happens. Raises
+        BadSettings for a day that only the emulator can play."""
         for i, fault in enumerate(self.scenario.faults):
             if fault.kind in EMULATED:
                 raise BadSettings(
@@ -79,7 +82,8 @@
             self.stop()
 
     def exports(self):
-        """The ledgers of all fronts, exported now that they have stopped: as decisions.booking.reconcile takes them; [] without budgets."""
+        """The ledgers of all fronts, exported now that they have stopped: as decisions.booking.reconcile
+        takes them; [] without budgets."""
         told = []
         for name in sorted(self.addresses):
             path = os.path.join(self.logs, name + ".ledger")
--- a/martenrouter/lab/report.py
+++ b/martenrouter/lab/report.py
@@ -1,5 +1,6 @@
-"""A day as one HTML page that needs nothing else, with its pictures in it: service and first tokens by second with the troubles drawn
-in, engines' load and memory, tokens out on links, who decided, and the worst ten seconds with what acted then. Two runs overlay."""
+"""A day as one HTML page that needs nothing else, with its pictures in it: service and first tokens by second
+with the troubles drawn in, engines' load and memory, tokens out on links, who decided, and the worst ten
+seconds with what acted then. Two runs overlay."""
 
 import base64
 import html
@@ -16,7 +17,8 @@
 
 
 def write(path, runs):
-    """`runs`: one or two emulator.runs.Run of the same day. A path that ends in .png gets the pictures alone."""
+    """`runs`: one or two emulator.runs.Run of the same day. A path that ends in .png gets the pictures
+    alone."""
     figure = _pictures(runs)
     data = io.BytesIO()
     figure.savefig(data, format="png", dpi=110)
@@ -213,5 +215,6 @@
 <style>body{font:15px/1.5 system-ui,sans-serif;max-width:76rem;margin:2rem auto;padding:0 1rem;color:#222}
 img{max-width:100%%}h1{font-weight:600}h2{margin-top:2rem}</style>
 <h1>%s, seed %d</h1><p>Played in virtual time with stand-in engines; figures are of no real machine.</p>
-<img alt="service, first tokens, load, memory, links and deciders by second" src="data:image/png;base64,%s">%s</html>
+<img alt="service, first tokens, load, memory, links and deciders by second"
+ src="data:image/png;base64,%s">%s</html>
 """ % (html.escape(runs[0].scenario), html.escape(runs[0].scenario), runs[0].seed, picture, "\n".join(parts))
--- a/martenrouter/lab/results.py
+++ b/martenrouter/lab/results.py
@@ -1,8 +1,8 @@
-"""Runs kept on an embedded store (LMDB): each under what it was played with, so that a study that was cut off goes on where it was
-and two studies share what they have in common.
+"""Runs kept on an embedded store (LMDB): each under what it was played with, so that a study that was cut off
+goes on where it was and two studies share what they have in common.
 
-A key is the digest of scenario, seed, policy, settings, the program's revision and the libraries' versions; a run under the same
-key is the same to the byte, which is what makes it right to play it only once.
+A key is the digest of scenario, seed, policy, settings, the program's revision and the libraries' versions; a
+run under the same key is the same to the byte, which is what makes it right to play it only once.
 """
 
 import importlib.metadata
--- a/martenrouter/lab/scenario.py
+++ b/martenrouter/lab/scenario.py
@@ -1,4 +1,5 @@
-"""A scenario: a fleet, its traffic, and what goes wrong when. Jsonnet files, checked; times in seconds of the day."""
+"""A scenario: a fleet, its traffic, and what goes wrong when. Jsonnet files, checked; times in seconds of the
+day."""
 
 import os
 import typing
@@ -79,10 +80,10 @@
 
 
 class Fault(_Part):
-    """`target`: an engine (rd-0-1), a role (rd, wr, mix: one of it by the seed), all of a role (all-rd), a cell (cell-0), a
-    zone (hall-1), all engines (all), a front (front-1).
-    `value`: factor, tokens, milliseconds or count, as the kind needs. `again`: seconds after which a crashed engine or a
-    killed front is back."""
+    """`target`: an engine (rd-0-1), a role (rd, wr, mix: one of it by the seed), all of a role (all-rd), a
+    cell (cell-0), a zone (hall-1), all engines (all), a front (front-1).
+    `value`: factor, tokens, milliseconds or count, as the kind needs. `again`: seconds after which a crashed
+    engine or a killed front is back."""
 
     at: float
     kind: Kind
--- a/martenrouter/lab/studies.py
+++ b/martenrouter/lab/studies.py
@@ -1,7 +1,8 @@
-"""Many runs: each day in a process of its own, spread over workers, kept as they end, gone on with after a kill.
+"""Many runs: each day in a process of its own, spread over workers, kept as they end, gone on with after a
+kill.
 
-A build is named by a policy (`as-built`, `random`, …), a git revision (`rev:HEAD~3`, played from a work tree of its own) or settings
-(`set:{…}`, laid over the scenario's), and may combine them: `rev:HEAD~3,two-choices`.
+A build is named by a policy (`as-built`, `random`, …), a git revision (`rev:HEAD~3`, played from a work tree
+of its own) or settings (`set:{…}`, laid over the scenario's), and may combine them: `rev:HEAD~3,two-choices`.
 """
 
 import concurrent.futures
@@ -146,8 +147,8 @@
 
 
 def study(jobs, store, workers, say=lambda text: None):
-    """`jobs`: (build, scenario, seed). Yields (build, scenario, seed, Kept) as they end, kept ones first; a run that failed raises
-    Failed after all others have ended, so that nothing played is lost."""
+    """`jobs`: (build, scenario, seed). Yields (build, scenario, seed, Kept) as they end, kept ones first; a
+    run that failed raises Failed after all others have ended, so that nothing played is lost."""
     revisions, versions, waiting, failed = {}, results.versions(), [], []
     for build, scenario, seed in jobs:
         if build.directory not in revisions:
--- a/martenrouter/lab/twice.py
+++ b/martenrouter/lab/twice.py
@@ -1,15 +1,16 @@
-"""The same day twice: in the emulator and on sockets, side by side, with the differences that are held to be small.
+"""The same day twice: in the emulator and on sockets, side by side, with the differences that are held to be
+small.
 
-On sockets a machine is in the way: turns between processes take time that the emulator has none of, so first tokens are compared as a
-ratio with room, shares and counts closely.
+On sockets a machine is in the way: turns between processes take time that the emulator has none of, so first
+tokens are compared as a ratio with room, shares and counts closely.
 """
 
 from martenrouter.lab.emulator.runs import play
 from martenrouter.lab.rehearse import played
 from martenrouter.lab.verdict import verdict
 
-# how far apart the two may be: shares as a difference, the others as a ratio either way. From ten days of eight to twenty-two
-# seconds: bench/README.md has what was seen.
+# how far apart the two may be: shares as a difference, the others as a ratio either way. From ten days of
+# eight to twenty-two seconds: bench/README.md has what was seen.
 TOLERANCE = {
     "done": 0.06,
     "pushed back": 0.06,
--- a/martenrouter/node/arrivals.py
+++ b/martenrouter/node/arrivals.py
@@ -1,7 +1,8 @@
-"""When bytes came that this process has not read yet, as far as that can be known: a time no later than when they did.
+"""When bytes came that this process has not read yet, as far as that can be known: a time no later than when
+they did.
 
-What is told a server of the client's deadline counts from there, so that a busy event loop, a full accept queue or a request
-that is served first never adds to it.
+What is told a server of the client's deadline counts from there, so that a busy event loop, a full accept
+queue or a request that is served first never adds to it.
 """
 
 import collections
@@ -10,7 +11,8 @@
 
 from martenrouter.edge import clock
 
-USUAL_TURN = 60_000  # microseconds: the node wakes its loop each 50 ms, so a longer turn is one in which the loop was held
+# microseconds: the node wakes its loop each 50 ms, so a longer turn is one in which the loop was held
+USUAL_TURN = 60_000
 
 
 class LoopTurns:
@@ -31,7 +33,8 @@
         self._previous, self._latest = self._latest, clock.now()
 
     def earliest(self):
-        """What the loop reports in this turn came no earlier: now, or when it looked before if it was held since then."""
+        """What the loop reports in this turn came no earlier: now, or when it looked before if it was held
+        since then."""
         return self._previous if self._latest - self._previous > USUAL_TURN else clock.now()
 
 
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -1,12 +1,14 @@
 """A client's connection: HTTP/1.1, one request at a time.
 
-Just the bytes of the request whose turn it is are read, all others stay with the system. So each request is either read and
-gets one whole answer, or it is not read: a close over it then resets the connection, and its client sends it again on another.
+Just the bytes of the request whose turn it is are read, all others stay with the system. So each request is
+either read and gets one whole answer, or it is not read: a close over it then resets the connection, and its
+client sends it again on another.
 
 States, and what leads from one to another:
 
     IDLE        nothing of a request has been read     -> READING: its first bytes were
-    READING     a part of a request has been read      -> SERVING: it is whole; IDLE or CLOSING: whole, and answered at once;
+    READING     a part of a request has been read      -> SERVING: it is whole; IDLE or CLOSING: whole, and
+    answered at once;
                                                           DISCARDING: refused before it was whole
     SERVING     a whole request has no whole answer    -> IDLE or CLOSING: it has
     DISCARDING  refused; its rest is read and dropped  -> CLOSING: at its end, or after a while
@@ -129,7 +131,8 @@
         self.reading_since, self.begun = clock.now(), self.arrivals.first()
 
     def _take(self, data):
-        """Feeds `data`, which stands unread, to the parser up to the end of the request, and consumes just that."""
+        """Feeds `data`, which stands unread, to the parser up to the end of the request, and consumes just
+        that."""
         taken = consumed = 0
         try:
             while taken < len(data) and self.state in (State.READING, State.DISCARDING):
@@ -213,7 +216,8 @@
             self.server.counters["refused_409"] += 1
             return self.answer(409, "a request with this X-Request-ID is open")
         if len(proxy.reqs) >= self.server.most_reqs:
-            # guards the descriptors that the list's watch and calls to let go need: each open request may hold one at a server
+            # guards the descriptors that the list's watch and calls to let go need: each open request may
+            # hold one at a server
             self.server.counters["refused_over_bound"] += 1
             return self.answer(503, "too many requests are open", self.server.come_back)
         self.state = State.SERVING
@@ -300,8 +304,9 @@
             self._drained()
 
     def retire(self):
-        """A stop ends a connection between requests. One on which a request was answered may hold the next, unread: it is not read any more,
-        and its client sends it again elsewhere. A first one is still read and answered."""
+        """A stop ends a connection between requests. One on which a request was answered may hold the next,
+        unread: it is not read any more, and its client sends it again elsewhere. A first one is still read
+        and answered."""
         if self.state is State.IDLE and self.buffer.empty:
             if self.line.quiet():
                 self.close()
--- a/martenrouter/node/desk.py
+++ b/martenrouter/node/desk.py
@@ -21,8 +21,8 @@
         try:
             self.front.turn(now, inbox, self.hands)
         except Exception as why:
-            # what was decided stands, what had not been come to is told in the next round; a req that nobody looks after any
-            # more is answered at its deadline by the hands
+            # what was decided stands, what had not been come to is told in the next round; a req that nobody
+            # looks after any more is answered at its deadline by the hands
             self.inbox[:0] = inbox
             failed, self.failed = not self.failed, True
             self.faults += 1
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -1,6 +1,7 @@
 """The door for clients: takes connections within a bound, closes those of no use, ends with the process.
 
-Each connection has a greenlet of its own (client_connection.py); bad clients get an error or a close within the platform's 3 s.
+Each connection has a greenlet of its own (client_connection.py); bad clients get an error or a close within
+the platform's 3 s.
 """
 
 from gevent.server import StreamServer
@@ -10,10 +11,13 @@
 from martenrouter.node.arrivals import LoopTurns
 from martenrouter.node.client_connection import ClientConnection, ClientLeft, State
 
-WHOLE_WITHIN = 2_200_000  # microseconds from a connection's start, or a request's first byte, to its last: 3 s are allowed
-IDLE_WITHIN = 3_000_000  # between requests: the platform allows a close after 2 s; some clients ask once and stay for good
+# microseconds from a connection's start, or a request's first byte, to its last: 3 s are allowed
+WHOLE_WITHIN = 2_200_000
+# between requests: the platform allows a close after 2 s; some clients ask once and stay for good
+IDLE_WITHIN = 3_000_000
 LINGER = 600_000  # after the last answer: the client reads it before a close can reset it away
-UNSENT_WITHIN = 5_000_000  # a client that takes nothing for so long reads nothing; a stream's end has to reach it in seconds
+# a client that takes nothing for so long reads nothing; a stream's end has to reach it in seconds
+UNSENT_WITHIN = 5_000_000
 AT_ONCE = (
     16  # connections taken before others get their turn: those over the bound hold descriptors until then
 )
@@ -21,7 +25,8 @@
 NEWCOMER = (
     300_000  # a connection's first request is on its way for so long; older silent ones are closed first
 )
-HALF = 1_000_000  # half a request that is this old may be refused for a newcomer: a usual client's is whole by then
+# half a request that is this old may be refused for a newcomer: a usual client's is whole by then
+HALF = 1_000_000
 PIECES = (
     500_000  # of a connection that was silent at first: its request may still come in pieces, within the 3 s
 )
@@ -30,7 +35,8 @@
 class Listener(StreamServer):
     """Takes connections one after the other, and says of each since when it can have waited at the latest.
 
-    `full()`: whether no more can be held; they wait in the system until `resume` is called. `turns`: arrivals.LoopTurns.
+    `full()`: whether no more can be held; they wait in the system until `resume` is called. `turns`:
+    arrivals.LoopTurns.
     """
 
     def __init__(self, listen, accepted, full, turns):
@@ -58,8 +64,9 @@
 
 class Door:
     def __init__(self, listen, most, most_reqs, bytes_limit, groups, come_back, hands, counters, log):
-        """`listen`: (host, port); `most`: connections that may be open; `most_reqs`: reqs; `bytes_limit`: bodies of all open and
-        unfinished reqs together; `groups`: names of endpoint groups; `come_back`: headers of what is turned away over a bound."""
+        """`listen`: (host, port); `most`: connections that may be open; `most_reqs`: reqs; `bytes_limit`:
+        bodies of all open and unfinished reqs together; `groups`: names of endpoint groups; `come_back`:
+        headers of what is turned away over a bound."""
         self.most_reqs, self.come_back = most_reqs, come_back
         self.bytes_limit = bytes_limit
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
@@ -75,7 +82,8 @@
         self.begun = self.listens = True
 
     def stop_listening(self):
-        """What the system has accepted already is taken first: a close over it would reset reqs that their clients have sent."""
+        """What the system has accepted already is taken first: a close over it would reset reqs that their
+        clients have sent."""
         if self.listens:
             self.listens = False
             try:
@@ -89,7 +97,8 @@
         return self.begun and not self.stopping
 
     def _full(self):
-        """Whether not even a newcomer can be answered: what is in the system's queue waits until one has been."""
+        """Whether not even a newcomer can be answered: what is in the system's queue waits until one has
+        been."""
         return len(self.conns) >= self.most + NEWCOMERS and not self._make_room(clock.now())
 
     def bytes_held(self):
@@ -104,7 +113,8 @@
             return  # reset before it was taken
         conn = ClientConnection(line, self, now, came)
         if len(self.conns) >= self.most and not self._make_room(now):
-            # its request is on its way: it is read and refused, as a close over it would leave it without an answer
+            # its request is on its way: it is read and refused, as a close over it would leave it without an
+            # answer
             self.counters["connection_over_bound"] += 1
             conn.over_bound = True
         self.conns[id(conn)] = conn
@@ -149,9 +159,10 @@
         self.conns.pop(id(conn), None)
 
     def _make_room(self, now):
-        """Closes the connection of least use: one whose last answer is out, silent from its start, then longest without a request.
-        If there is none, half a request is refused, one that would be anyway or an old one. False if there is none of these either.
-        One on which something has come that nobody has read is not closed for another."""
+        """Closes the connection of least use: one whose last answer is out, silent from its start, then
+        longest without a request. If there is none, half a request is refused, one that would be anyway or an
+        old one. False if there is none of these either. One on which something has come that nobody has read
+        is not closed for another."""
         idle = [
             conn
             for conn in self.conns.values()
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -1,8 +1,9 @@
-"""Forwards to engines: a greenlet carries each over one connection and says how it ended, in the module's words.
+"""Forwards to engines: a greenlet carries each over one connection and says how it ended, in the module's
+words.
 
-What proves that nothing ran, besides the statuses of wire/platform/answers.py: no connection, or one that broke before the
-last byte was written (unreachable), and what was never written (not sent). A connection that breaks or ends later, and bytes
-that can't be read, prove nothing (reset). Nothing is sent twice here.
+What proves that nothing ran, besides the statuses of wire/platform/answers.py: no connection, or one that
+broke before the last byte was written (unreachable), and what was never written (not sent). A connection that
+breaks or ends later, and bytes that can't be read, prove nothing (reset). Nothing is sent twice here.
 """
 
 import gevent
@@ -16,17 +17,18 @@
 TOLD_WITHIN = (
     100_000  # microseconds from telling an engine what is left to the request's last byte: 0.15 s are allowed
 )
-AT_ONCE = 10_000  # microseconds: the answer of a machine that knows nothing of a connection comes within a round trip
-# seconds for one try: of the 300 ms in which a state has to go, and the 300 ms that sockets have more, two connections that
-# never come up take 500, and two engines are to be tried in what is left
+# microseconds: the answer of a machine that knows nothing of a connection comes within a round trip
+AT_ONCE = 10_000
+# seconds for one try: of the 300 ms in which a state has to go, and the 300 ms that sockets have more, two
+# connections that never come up take 500, and two engines are to be tried in what is left
 LET_GO_WITHIN = 0.05
 LET_GO_TRIES = 24  # a second and more in which engines don't answer
 
 
 class Forward:
-    """`n`: its number within the req; `at`: when it was decided; `written`: when its bytes were; `began`: when its first event
-    came; `heard`: when whole events last did. All of the node's clock. `reads`: whether it asks for a read, whatever the list says
-    of its engine later."""
+    """`n`: its number within the req; `at`: when it was decided; `written`: when its bytes were; `began`:
+    when its first event came; `heard`: when whole events last did. All of the node's clock. `reads`: whether
+    it asks for a read, whatever the list says of its engine later."""
 
     def __init__(self, req, n, engine, at, until, reads=False):
         self.req, self.n, self.engine, self.at, self.until, self.heard, self.reads = (
@@ -67,7 +69,8 @@
                 connection = f.connection = self._connect(
                     f.engine, within=self.take_within if f.req.holds else None
                 )
-                # connecting took time: the req may be over, its engine may drain by now, and a send counts from its first byte
+                # connecting took time: the req may be over, its engine may drain by now, and a send counts
+                # from its first byte
                 if hear.may_still_send(f):
                     ending, note, clean = self._talk(f, connection, hear, patience)
                 else:
@@ -80,7 +83,8 @@
             ending, f.why = why.ending, why.why
             self.counters["forward_" + why.why.partition(":")[0].replace(" ", "_")] += 1
         except Exception as why:
-            # guards against a fault of this node: a forward without an end would be waited for to its req's deadline
+            # guards against a fault of this node: a forward without an end would be waited for to its req's
+            # deadline
             ending, f.why = (
                 "unreachable" if connection is None else "reset",
                 "%s: %s" % (type(why).__name__, why),
@@ -101,7 +105,8 @@
         told_at = clock.now()
 
         def check():
-            # between its parts others run: what held when the first went out may not any more, and none may have been the last
+            # between its parts others run: what held when the first went out may not any more, and none may
+            # have been the last
             if not connection.quiet():
                 raise Broke("unreachable", "unwritten: bytes came before it was whole")
             if clock.now() - told_at > TOLD_WITHIN:
@@ -174,8 +179,8 @@
                 f.half = reader.half or events.inside
 
     def _kept_one(self, f, broke):
-        """Tells what became of a connection that had been kept. One that breaks long after the bytes went out is no sign:
-        the engine had them."""
+        """Tells what became of a connection that had been kept. One that breaks long after the bytes went out
+        is no sign: the engine had them."""
         if f.idled is not None:
             self.kept.tell(clock.now(), broke and clock.now() - f.written < AT_ONCE)
 
@@ -191,8 +196,8 @@
     # ---- letting go ----
 
     def let_go(self, id, engine, others, after=(0,), still=lambda: True):
-        """All that is held for the req is let go; `engine`, if any, is asked first, then `others()`, till one has answered. This
-        is done at each of the seconds `after` now at which `still()`."""
+        """All that is held for the req is let go; `engine`, if any, is asked first, then `others()`, till one
+        has answered. This is done at each of the seconds `after` now at which `still()`."""
         gevent.spawn(self._let_go, id, engine, others, after, still)
 
     def _let_go(self, id, engine, others, after, still):
@@ -208,7 +213,9 @@
     def _let_go_now(self, id, engine, others, still):
         tried = None
         for n in range(LET_GO_TRIES):
-            if not still():  # each time: an engine that does not answer takes 50 ms, in which a state that is wanted may come to be
+            # each time: an engine that does not answer takes 50 ms, in which a state that is wanted may come
+            # to be
+            if not still():
                 return
             self.counters["let_go"] += not n
             engine = engine or next((other for other in others() if other != tried), tried)
@@ -245,7 +252,8 @@
                     if "bad" in events:
                         return False
         except (Broke, OSError, gevent.Timeout) as why:
-            # a hung or lost engine must not hold up what another could do; no faster than its share of the time
+            # a hung or lost engine must not hold up what another could do; no faster than its share of the
+            # time
             self.counters["let_go_again"] += 1
             self.log.debug("let_go_again", req=id, engine=engine, why=str(why))
             gevent.sleep(min(max(until - clock.now(), 0) / 1e6, 0.01))
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -1,20 +1,22 @@
-"""What the module decides is done here, and what is seen on the sockets is told to it: the facts of each req, no choices.
+"""What the module decides is done here, and what is seen on the sockets is told to it: the facts of each req,
+no choices.
 
-Each req gets one final answer: done (its stream's end passed on), pushed back, or aborted. After it nothing is sent for it
-but calls that let go of what is held.
+Each req gets one final answer: done (its stream's end passed on), pushed back, or aborted. After it nothing
+is sent for it but calls that let go of what is held.
 """
 
 import math
 
 from martenrouter.edge import clock
-from martenrouter.node.engines import Forward
 from martenrouter.edge.lines import Broke, Stopped
-from martenrouter.wire.platform import messages
+from martenrouter.node.engines import Forward
 
-# A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is this old is spoilt
+# A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
+# this old is spoilt
 HALF_WITHIN = 3_000_000
-# The same 5 s for a stream that is silent between events: a client that an engine leaves waiting for longer is lost, whether or not it asks
-# for the rest elsewhere. On 15 brink days of a site without such clients no stream that had been silent for 2 s went on
+# The same 5 s for a stream that is silent between events: a client that an engine leaves waiting for longer
+# is lost, whether or not it asks for the rest elsewhere. On 15 brink days of a site without such clients no
+# stream that had been silent for 2 s went on
 SILENT_WITHIN = 4_500_000
 LOOKS = 50_000  # microseconds between looks at what no event tells (node/life.py)
 LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
@@ -26,8 +28,8 @@
 )  # any other end of a read may leave a state behind
 
 
-# seconds from what leaves a state to the calls that let go of it, 300 ms being the limit. Where nobody knows whether there is
-# one, its like may be sent in the next round, and the first call waits for that
+# seconds from what leaves a state to the calls that let go of it, 300 ms being the limit. Where nobody knows
+# whether there is one, its like may be sent in the next round, and the first call waits for that
 AT_ONCE_AND_AGAIN, LATER_AND_AGAIN = (0, 0.1), (0.02, 0.12)
 
 
@@ -101,8 +103,8 @@
         return r
 
     def answer_all_by(self, at):
-        """Guards against a kill that comes before a deadline: reqs that are open and all that come later are to be answered by
-        then. A stream that has begun has no deadline any more."""
+        """Guards against a kill that comes before a deadline: reqs that are open and all that come later are
+        to be answered by then. A stream that has begun has no deadline any more."""
         self.all_by = at
         for r in self.reqs.values():
             if r.over is None and r.streams is None and r.deadline > at:
@@ -178,9 +180,9 @@
         return self.roles.get(self.kinds.get(engine)) == "read"
 
     def may_still_send(self, f):
-        """Protocol facts only: the req is open, its forward not cancelled, its engine neither draining nor gone, the window in which
-        a keyed one may be repeated not over, and its client still there: the loop may be behind with reading that it has closed,
-        and nothing may begin for it by then."""
+        """Protocol facts only: the req is open, its forward not cancelled, its engine neither draining nor
+        gone, the window in which a keyed one may be repeated not over, and its client still there: the loop
+        may be behind with reading that it has closed, and nothing may begin for it by then."""
         return (
             f.req.over is None
             and not f.ended
@@ -194,8 +196,8 @@
         """Whole events came. The first ones make this the forward whose stream the client gets."""
         r = f.req
         if f.ended:
-            # its end has been said and its greenlet is to be stopped, but what had come already got here first: the module may
-            # have another one out by now
+            # its end has been said and its greenlet is to be stopped, but what had come already got here
+            # first: the module may have another one out by now
             raise Stopped
         if not f.began:
             if r.over or r.streams:
@@ -248,18 +250,20 @@
             and r.repeat_by is None
             and r.ask.group in self.windows
         ):
-            # counted as the module does, from its decision; two rounds for what lies between a send and its engine
+            # counted as the module does, from its decision; two rounds for what lies between a send and its
+            # engine
             r.repeat_by = f.at + self.windows[r.ask.group] - 2 * self.settings.get("round", 0)
         if r.doubtful and not r.holds and r.streams is None:
             self._clear(r, LATER_AND_AGAIN)
         self._forget(r)
 
     def _clear(self, r, after, first=None):
-        """Guards against a call that comes before its engine has seen a connection close: a forward that seems to be out keeps
-        its state from being let go, and a read may end well just then. So it is made twice, and not while a forward is
-        out, which would lose its state. One that has written nothing has none yet: engines that take no connection, one
-        after the other, would keep a state that a broken read left for as long as they take to fail. `first` is the engine
-        of a read that ended well; where one broke, its engine may be silent, and one that answered lately is asked first."""
+        """Guards against a call that comes before its engine has seen a connection close: a forward that
+        seems to be out keeps its state from being let go, and a read may end well just then. So it is made
+        twice, and not while a forward is out, which would lose its state. One that has written nothing has
+        none yet: engines that take no connection, one after the other, would keep a state that a broken read
+        left for as long as they take to fail. `first` is the engine of a read that ended well; where one
+        broke, its engine may be silent, and one that answered lately is asked first."""
         self.engines.let_go(
             r.id,
             first,
@@ -269,8 +273,10 @@
         )
 
     def move_streams(self, after, moved, part):
-        """Running streams end here, and their clients ask for the rest at another front: those that would end after the time
-        `after`, by their clients' hints, latest first, until with `moved` before them `part` of all are. Returns how many."""
+        """Running streams end here, and their clients ask for the rest at another front: those that would end
+        after the time
+        `after`, by their clients' hints, latest first, until with `moved` before them `part` of all are.
+        Returns how many."""
         running = [(f.began + (f.req.ask.hint or LONG), f) for f in self.engines.out.values() if f.began]
         late = sorted((pair for pair in running if pair[0] > after), key=lambda pair: -pair[0])
         due = late[: max(math.ceil((moved + len(late)) * part) - moved, 0)]
@@ -316,8 +322,8 @@
         self._forget(r)
 
     def _stop_unwritten(self, r):
-        """An attempt begins with its last byte: one that its engine has not got whole by the end of its request never begins, also
-        where nothing may be cancelled."""
+        """An attempt begins with its last byte: one that its engine has not got whole by the end of its
+        request never begins, also where nothing may be cancelled."""
         for f in list(r.forwards.values()):
             if f.written is None:
                 self.engines.stop(f)
@@ -331,7 +337,8 @@
             self.leaving.append(r)
 
     def round_over(self):
-        """Reqs leave here and not in mid-round: the module lets go of what is held right after it cancels the last forward."""
+        """Reqs leave here and not in mid-round: the module lets go of what is held right after it cancels the
+        last forward."""
         leaving, self.leaving = self.leaving, []
         for r in leaving:
             if self.reqs.get(r.id) is r:
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -1,4 +1,5 @@
-"""The life of a front node: put together from its configuration, started, reloaded on SIGHUP, stopped on SIGTERM."""
+"""The life of a front node: put together from its configuration, started, reloaded on SIGHUP, stopped on
+SIGTERM."""
 
 import collections
 import os
@@ -24,9 +25,10 @@
 BODIES = (
     1_000_000 // 4
 )  # bytes for each MB of memory: a quarter of it; 3 MB of the usual bodies are on their way at once
-# Shares of the descriptors. Clients: the usual ones' reqs hold a third at most, the rest is for bad ones. A third for reqs, each of
-# which has one forward out. Kept connections to all engines together. What is left, an eighth, is the reserve of the list's watch, calls
-# to let go, the door and files: nothing that clients do takes from it
+# Shares of the descriptors. Clients: the usual ones' reqs hold a third at most, the rest is for bad ones. A
+# third for reqs, each of which has one forward out. Kept connections to all engines together. What is left,
+# an eighth, is the reserve of the list's watch, calls to let go, the door and files: nothing that clients do
+# takes from it
 CLIENTS, REQS, KEPT = 2 / 5, 1 / 3, 1 / 7
 COME_BACK = (
     1_000_000  # microseconds that what is turned away over a bound is told, where the settings allow it
@@ -37,7 +39,8 @@
 
 class Node(Hands):
     def __init__(self, path, log):
-        """Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and the mend."""
+        """Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and
+        the mend."""
         self.path = path
         settings, known = self._read()
         plain = told.from_nested(settings.settings)
@@ -83,7 +86,8 @@
     # ---- the list ----
 
     def listed(self, message, scope=None):
-        """What was written to this node counts as told, whatever its revision says: phases hold from here on."""
+        """What was written to this node counts as told, whatever its revision says: phases hold from here
+        on."""
         scope = scope or ("whole" if message.complete else "changes")
         rows = [members.row(member, self.offset) for member in message.members]
         moved = {}
@@ -128,7 +132,8 @@
         return self.watch.greenlet, self.desk.greenlet, self.looker
 
     def run(self, early=None):
-        """Serves until SIGTERM or SIGINT; returns the exit code. `early`: node/signals.py, what came before this."""
+        """Serves until SIGTERM or SIGINT; returns the exit code. `early`: node/signals.py, what came before
+        this."""
         for number, act in (
             (signal.SIGTERM, self.stop),
             (signal.SIGINT, self.stop),
@@ -153,12 +158,13 @@
                 try:
                     look()
                 except Exception as why:
-                    # the others and later ones go on: what they guard against would otherwise be guarded by nothing
+                    # the others and later ones go on: what they guard against would otherwise be guarded by
+                    # nothing
                     self.log.error("look_failed", error="%s: %s" % (type(why).__name__, why))
 
     def reload(self):
-        """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes nothing; as it may be
-        half written just now, it is looked at again for half a second."""
+        """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes
+        nothing; as it may be half written just now, it is looked at again for half a second."""
         for left in reversed(range(UNREADABLE + 1)):
             try:
                 settings, _ = self._read()
@@ -178,10 +184,12 @@
         self.watch.move(codec.address(settings.discovery, "$.discovery"))
 
     def stop(self):
-        """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the process ends.
+        """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the
+        process ends.
 
-        Where clients ask for the rest of a stream that broke, other fronts of a rolling restart may be down just now: kept
-        connections are served for longer, and streams that the kill would cut move on before it, while others are up.
+        Where clients ask for the rest of a stream that broke, other fronts of a rolling restart may be down
+        just now: kept connections are served for longer, and streams that the kill would cut move on before
+        it, while others are up.
         """
         if self.door.stopping:
             return
@@ -190,8 +198,9 @@
         self.log.info("stopping", open=len(self.reqs), connections=len(self.door.conns))
         self.answer_all_by(begun + line.answered)
         self.moved = gone = 0
-        # the end comes when no connection is left, however long that takes: what the kill cuts of what came in time is not lost, what
-        # this process cuts by ending is; and a req may come on any connection that is open
+        # the end comes when no connection is left, however long that takes: what the kill cuts of what came
+        # in time is not lost, what this process cuts by ending is; and a req may come on any connection that
+        # is open
         while self.busy() or gone <= line.kept or self.door.conns:
             gone = clock.now() - begun
             try:
--- a/martenrouter/node/signals.py
+++ b/martenrouter/node/signals.py
@@ -1,4 +1,5 @@
-"""Signals that come before a node can act on them: until then the system's own answer to SIGHUP would end the process."""
+"""Signals that come before a node can act on them: until then the system's own answer to SIGHUP would end the
+process."""
 
 import signal
 import sys
--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -1,17 +1,18 @@
-"""The watch of the platform's list of engines: a connection to the agent that stays open, made anew when it is silent."""
+"""The watch of the platform's list of engines: a connection to the agent that stays open, made anew when it
+is silent."""
 
 import gevent
 
-from martenrouter.edge import clock
 from martenrouter.edge.line import Line
 from martenrouter.wire import http
 from martenrouter.wire.platform import members, messages
 
 SILENT = 2.5  # seconds between two lines: an empty one comes every 2 s
-# Seconds. A change counts as told 6 s after the agent had it and could be reached, whatever failed before. The agent answers at
-# once: a call without a first line is given up after AT_FIRST, twice that the next time, up to SILENT where the agent is slow.
-# The longest chain: a watch falls silent (2.5), a call is refused (0.1), the next hangs (0.2 + 0.8), one more does (0.3 + 1.6), and
-# the one after (0.3), 5.8 s after the last line, is answered. After an outage: a call that hangs across its end and one wait.
+# Seconds. A change counts as told 6 s after the agent had it and could be reached, whatever failed before.
+# The agent answers at once: a call without a first line is given up after AT_FIRST, twice that the next time,
+# up to SILENT where the agent is slow. The longest chain: a watch falls silent (2.5), a call is refused
+# (0.1), the next hangs (0.2 + 0.8), one more does (0.3 + 1.6), and the one after (0.3), 5.8 s after the last
+# line, is answered. After an outage: a call that hangs across its end and one wait.
 AT_FIRST = 0.8
 FIRST, LONGEST = 0.1, 0.3  # between tries
 
@@ -45,7 +46,8 @@
             try:
                 self._follow(patience)
             except (Exception, gevent.Timeout) as why:
-                # whatever it was, this node's own fault too: without a watch every drain would be broken from here on
+                # whatever it was, this node's own fault too: without a watch every drain would be broken from
+                # here on
                 hung = isinstance(why, gevent.Timeout)  # a refusal says nothing of a slow agent
                 self.counters["watch_broken"] += 1
                 self.log.info("watch_broken", why="%s: %s" % (type(why).__name__, why))
--- a/martenrouter/planner/serve.py
+++ b/martenrouter/planner/serve.py
@@ -1,7 +1,9 @@
-"""A planner: rounds in, decisions out, over the edge's Unix socket. Plain blocking code, nothing else runs in this process.
+"""A planner: rounds in, decisions out, over the edge's Unix socket. Plain blocking code, nothing else runs in
+this process.
 
-It has no list of its own and decides by no clock of its own: the time of each round and all facts are the edge's. It can
-be killed at any moment; it connects again when the edge closes, which an edge does that found it silent.
+It has no list of its own and decides by no clock of its own: the time of each round and all facts are the
+edge's. It can be killed at any moment; it connects again when the edge closes, which an edge does that found
+it silent.
 """
 
 import os
@@ -36,14 +38,16 @@
 
 class Planner:
     def __init__(self, path, log, name=None, slow=0.0, store=None):
-        """`slow`: seconds that each round takes longer, for rehearsals; `store`: directory for snapshots, or None."""
+        """`slow`: seconds that each round takes longer, for rehearsals; `store`: directory for snapshots, or
+        None."""
         self.store, self.snapshots, self.writer, self.background = store, None, None, None
         self.writer_at, self.writer_told = 0, False
         self.path, self.log, self.name, self.slow = path, log, name or "planner-%d" % os.getpid(), slow
         self.random = random.Random(os.getpid())
 
     def run(self):
-        """Serves one connection after the other, for ever. Raises Refused when the edge speaks another version."""
+        """Serves one connection after the other, for ever. Raises Refused when the edge speaks another
+        version."""
         wait = 0.05
         while True:
             try:
@@ -102,7 +106,8 @@
             self.store = None
 
     def _newest(self, now):
-        """What was learnt before this front was started, moved to its clock; old parts are not believed (see learnt.put)."""
+        """What was learnt before this front was started, moved to its clock; old parts are not believed (see
+        learnt.put)."""
         if self.snapshots is None:
             return None
         wall, learnt, words = self.snapshots.newest()
@@ -114,12 +119,14 @@
         return shifted(learnt, now - age - learnt["at"])
 
     def _between(self, chain, now):
-        """A slice of background work, when its budget allows: the export here, the disk in a thread of its own."""
+        """A slice of background work, when its budget allows: the export here, the disk in a thread of its
+        own."""
         name = self.background.pick(now) if self.snapshots is not None else None
         if name is None:
             return
         if self.writer is not None and self.writer.is_alive():
-            # the disk is slow, or another program holds the store: deciding goes on, nothing more is queued up
+            # the disk is slow, or another program holds the store: deciding goes on, nothing more is queued
+            # up
             if not self.writer_told and now - self.writer_at > 2 * SNAPSHOT_EACH:
                 self.writer_told = True
                 self.log.warning(
--- a/martenrouter/planner/supervisor.py
+++ b/martenrouter/planner/supervisor.py
@@ -1,7 +1,8 @@
-"""One front as two programs: starts edge and planner, starts the planner again when it ends, stops both in order.
+"""One front as two programs: starts edge and planner, starts the planner again when it ends, stops both in
+order.
 
-The edge serves without its planner, so a planner that crashes in a loop costs nothing but its place; the edge's end is the
-front's end, since what clients wait for is there.
+The edge serves without its planner, so a planner that crashes in a loop costs nothing but its place; the
+edge's end is the front's end, since what clients wait for is there.
 """
 
 import os
--- a/martenrouter/settings/front.py
+++ b/martenrouter/settings/front.py
@@ -68,8 +68,8 @@
 
 
 class Cold(_Part):
-    """What a just-started engine can stand: at `share` of its capacity it starts, warm after `warm_within_ms`; sent
-    more than `multiple` times what it can do for `window_ms`, it falls over."""
+    """What a just-started engine can stand: at `share` of its capacity it starts, warm after
+    `warm_within_ms`; sent more than `multiple` times what it can do for `window_ms`, it falls over."""
 
     share: float = 0.3
     warm_within_ms: float = 10_000
@@ -78,8 +78,9 @@
 
 
 class Budget(_Part):
-    """Limits of an installation, customer, endpoint group or session. `cap`: units a `period` (hour, day, month, or microseconds of a
-    rolling window); `on_cap`: one answer that passes the cap while it is written may be finished (one), none (end), all (finish)."""
+    """Limits of an installation, customer, endpoint group or session. `cap`: units a `period` (hour, day,
+    month, or microseconds of a rolling window); `on_cap`: one answer that passes the cap while it is written
+    may be finished (one), none (end), all (finish)."""
 
     cap: int | None = None
     period: typing.Literal["hour", "day", "month"] | int = "day"
@@ -91,8 +92,9 @@
 
 
 class Budgets(_Part):
-    """What customers may spend, in units: a prompt token costs `read_price`, an answer token `write_price`. `ledger`: a directory; without
-    one nothing is booked. `parts`: how this front's part of each limit is found (docs/budgets.md)."""
+    """What customers may spend, in units: a prompt token costs `read_price`, an answer token `write_price`.
+    `ledger`: a directory; without one nothing is booked. `parts`: how this front's part of each limit is
+    found (docs/budgets.md)."""
 
     read_price: int = 1
     write_price: int = 4
@@ -107,7 +109,8 @@
 
 
 class ListSource(_Part):
-    """Where the list of engines comes from: `service` (host:port) or `file`; `keep` is where the last one is kept."""
+    """Where the list of engines comes from: `service` (host:port) or `file`; `keep` is where the last one is
+    kept."""
 
     service: str | None = None
     file: str | None = None
--- a/martenrouter/settings/load.py
+++ b/martenrouter/settings/load.py
@@ -15,7 +15,8 @@
 
 
 def evaluate(path, given=()):
-    """The plain value of a Jsonnet file. `given`: NAME=VALUE texts, read in the file as std.extVar("NAME")."""
+    """The plain value of a Jsonnet file. `given`: NAME=VALUE texts, read in the file as
+    std.extVar("NAME")."""
     names = {}
     for text in given:
         name, sign, value = text.partition("=")
--- a/martenrouter/settings/told.py
+++ b/martenrouter/settings/told.py
@@ -1,8 +1,10 @@
-"""The settings that the operators hand to an instance, as a plain map in our words; the standard library only.
+"""The settings that the operators hand to an instance, as a plain map in our words; the standard library
+only.
 
-They come in two forms of one object: path=value pairs in the simulator's first message, nested JSON in a front node's
-configuration. The nested form is turned into the pairs, so one translator makes the module's map of both. What the module
-counts with is checked here, so that a bad value is refused at the start and fails no round later.
+They come in two forms of one object: path=value pairs in the simulator's first message, nested JSON in a
+front node's configuration. The nested form is turned into the pairs, so one translator makes the module's map
+of both. What the module counts with is checked here, so that a bad value is refused at the start and fails no
+round later.
 """
 
 
--- a/martenrouter/standins/__init__.py
+++ b/martenrouter/standins/__init__.py
@@ -1,1 +1,2 @@
-"""Stand-ins on loopback sockets, written from public specifications: engines, list service, clients; and the judge."""
+"""Stand-ins on loopback sockets, written from public specifications: engines, list service, clients; and the
+judge."""
--- a/martenrouter/standins/answers.py
+++ b/martenrouter/standins/answers.py
@@ -51,10 +51,12 @@
 
 
 def plan(seed, messages, max_tokens, usual=24, tools=(), goes_on=False):
-    """What one step of an answer holds: (tokens, tool calls as (name, arguments), tokens that are there already).
+    """What one step of an answer holds: (tokens, tool calls as (name, arguments), tokens that are there
+    already).
 
-    With tools, up to two steps ask for one or two of them before the answer ends; which and what is a function of the
-    prompt. `goes_on`: the last message is this step's text so far; the rest of the same step follows.
+    With tools, up to two steps ask for one or two of them before the answer ends; which and what is a
+    function of the prompt. `goes_on`: the last message is this step's text so far; the rest of the same step
+    follows.
     """
     so_far = len(messages[-1].get("content") or "") // TOKEN_SIZE if goes_on else 0
     base = messages[:-1] if goes_on else messages
--- a/martenrouter/standins/arrivals.py
+++ b/martenrouter/standins/arrivals.py
@@ -1,11 +1,12 @@
-"""What scripted clients ask, when, and what their tools answer: drawn from a seed, without I/O or clock. Players on sockets
-and in virtual time draw the same.
+"""What scripted clients ask, when, and what their tools answer: drawn from a seed, without I/O or clock.
+Players on sockets and in virtual time draw the same.
 """
 
 import random
 
 WORDS = (
-    "radiator meter valve boiler reading bill flow return pump hall pipe heat pressure window night cold warm room "
+    "radiator meter valve boiler reading bill flow return pump hall pipe heat pressure window night cold "
+    "warm room "
     "building floor manager autumn winter morning report number please check why slow when today"
 ).split()
 TURNS = 9  # messages after which a session is over
@@ -17,7 +18,8 @@
 
 
 class Arrival:
-    """One req to be asked. `leave`: how its client leaves it (cancel, close, rejoin, None), `after` so many seconds."""
+    """One req to be asked. `leave`: how its client leaves it (cancel, close, rejoin, None), `after` so many
+    seconds."""
 
     __slots__ = ("session", "group", "text", "trace", "early", "leave", "after", "front", "customer")
 
@@ -34,8 +36,9 @@
         self.gaps, self.base, self.count = random.Random(rnd.getrandbits(64)), rnd.getrandbits(64), 0
         self.openings = [self._words(traffic.opening_words) for _ in range(traffic.openings)]
         self.idle, self.sessions, self.burst = [], 0, 1.0
-        # shares, or weights, that troubles set for a while: all ask with one opening; prompts ten times as long; deadlines of
-        # a tenth, after which the client is back at once; the first customer asks so many times as often besides
+        # shares, or weights, that troubles set for a while: all ask with one opening; prompts ten times as
+        # long; deadlines of a tenth, after which the client is back at once; the first customer asks so many
+        # times as often besides
         self.hot = self.tail = self.impatient = self.greedy = 0.0
 
     def _words(self, count):
--- a/martenrouter/standins/clients.py
+++ b/martenrouter/standins/clients.py
@@ -1,5 +1,5 @@
-"""Scripted clients: open-loop arrivals that don't wait for answers, sessions with growing prompts, retries as told, and
-a record of every message. What they do follows from the seed; when answers come does not.
+"""Scripted clients: open-loop arrivals that don't wait for answers, sessions with growing prompts, retries as
+told, and a record of every message. What they do follows from the seed; when answers come does not.
 """
 
 import gevent
@@ -13,8 +13,8 @@
 
 class Clients:
     def __init__(self, fronts, traffic, groups, rnd, record, connections=2):
-        """`fronts`: name -> (host, port); `groups`: dicts with name and effect; `rnd`: a seeded generator; `record`
-        takes every message."""
+        """`fronts`: name -> (host, port); `groups`: dicts with name and effect; `rnd`: a seeded generator;
+        `record` takes every message."""
         self.fronts, self.traffic, self.groups, self.record = fronts, traffic, groups, record
         self.connections, self.links, self.count = connections, {}, 0
         self.arrivals = Arrivals(fronts, traffic, rnd)
--- a/martenrouter/standins/clocks.py
+++ b/martenrouter/standins/clocks.py
@@ -16,7 +16,8 @@
 
 
 def watch_lag(sleep, record):
-    """Runs in a greenlet: records when this process was not run for a while. The judge grants other processes as much."""
+    """Runs in a greenlet: records when this process was not run for a while. The judge grants other processes
+    as much."""
     while True:
         before = now()
         sleep(LAG_LOOK / 1e6)
--- a/martenrouter/standins/engine.py
+++ b/martenrouter/standins/engine.py
@@ -1,7 +1,9 @@
-"""A stand-in engine on a loopback socket: the engines' protocol in front of the model, with faults on command.
+"""A stand-in engine on a loopback socket: the engines' protocol in front of the model, with faults on
+command.
 
-Faults (control call `POST /control`, this project's own), each a key of the object sent: hang, slow (factor), refuse,
-error, reset_after (tokens), stall_after (tokens), no_finish, garbage, half_open, drain, forget, link (factor), crash.
+Faults (control call `POST /control`, this project's own), each a key of the object sent: hang, slow (factor),
+refuse, error, reset_after (tokens), stall_after (tokens), no_finish, garbage, half_open, drain, forget, link
+(factor), crash.
 """
 
 import os
@@ -15,11 +17,11 @@
 from gevent.server import StreamServer
 
 from martenrouter.standins import answers
+from martenrouter.standins.clocks import now, wall, watch_lag
 from martenrouter.standins.model import EngineModel, Job, work_of
 from martenrouter.state import records
 from martenrouter.wire import engine as wire
 from martenrouter.wire import http
-from martenrouter.standins.clocks import now, wall, watch_lag
 
 JSON = ("content-type", "application/json")
 
@@ -373,7 +375,8 @@
         sock.close()
 
     def _fetch(self, state):
-        """Has the state moved here, from this engine itself or from another; its tokens, None when there is none."""
+        """Has the state moved here, from this engine itself or from another; its tokens, None when there is
+        none."""
         id = state.get("remote_request_id")
         if state.get("remote_engine_id") == self.spec.id:
             tokens = self.model.take(now(), id)
--- a/martenrouter/standins/judge.py
+++ b/martenrouter/standins/judge.py
@@ -1,8 +1,9 @@
-"""The judge: reads traffic records alone and says of each rule kept or broken, with the req, the time and the message.
+"""The judge: reads traffic records alone and says of each rule kept or broken, with the req, the time and the
+message.
 
-It believes what was seen at the sockets of clients, engines and the list service, and the driver's word for what was
-killed when; a front's own record is never read. Slack is given for the way between two sockets only: a message is
-recorded by its receiver, later than it was sent.
+It believes what was seen at the sockets of clients, engines and the list service, and the driver's word for
+what was killed when; a front's own record is never read. Slack is given for the way between two sockets only:
+a message is recorded by its receiver, later than it was sent.
 """
 
 import collections
@@ -12,7 +13,8 @@
 
 from martenrouter.standins import answers
 
-TRANSIT = 100_000  # microseconds from a send to the receiver's record on a machine that is busy with a dozen processes
+# microseconds from a send to the receiver's record on a machine that is busy with a dozen processes
+TRANSIT = 100_000
 LAG_AT_MOST = (
     1_000_000  # microseconds granted for a machine that stood still, as other processes than fronts saw it
 )
@@ -51,7 +53,8 @@
         self.status = {record["forward"]: record for record in self.by_ev["status_out"]}
 
     def slack(self, since, until):
-        """Microseconds granted to what happened between: the way, and for how long stand-ins were not run just then."""
+        """Microseconds granted to what happened between: the way, and for how long stand-ins were not run
+        just then."""
         lag = max(
             (
                 record["late"]
@@ -176,7 +179,8 @@
                 continue
             writes = [forward for forward in self.of_trace.get(trace, ()) if forward["kind"] != "read"]
             for i, later in enumerate(writes):
-                # a leg that follows a pause goes on, it repeats nothing; within a leg a forward repeats those before
+                # a leg that follows a pause goes on, it repeats nothing; within a leg a forward repeats those
+                # before
                 earlier = [
                     one
                     for one in writes[:i]
@@ -344,7 +348,8 @@
             ]
             stops += [max(t, held["t"]) for who, t in deaf if who == engine]
             stop = min(stops, default=end)
-            # spans in which no forward of the req was out: until the next write that takes it, and after one's end
+            # spans in which no forward of the req was out: until the next write that takes it, and after
+            # one's end
             free = held["t"]
             for write in sorted(writes.get(read, ()), key=lambda record: record["t"]):
                 if write["t"] >= stop:
@@ -373,8 +378,8 @@
     # ---- what was answered ----
 
     def tokens_right(self):
-        """Tokens come in order, each once, and are what the stand-ins' function gives for the prompt and the tools' results,
-        whichever engines wrote them."""
+        """Tokens come in order, each once, and are what the stand-ins' function gives for the prompt and the
+        tools' results, whichever engines wrote them."""
         by_trace = _by(self.by_ev["token_in"], "trace")
         results = {}
         for ran in self.by_ev["tool_ran"]:
@@ -421,7 +426,8 @@
                     )
 
     def _right(self, req, calls, results):
-        """(tokens, whether they are all): the answer as the function gives it, as far as results are known."""
+        """(tokens, whether they are all): the answer as the function gives it, as far as results are
+        known."""
         engine = next(iter(self.told["engines"].values()), {"seed": 7, "usual": 24})
         messages, left, right, step = list(req["messages"]), req["max_tokens"], [], 0
         while True:
--- a/martenrouter/standins/list_service.py
+++ b/martenrouter/standins/list_service.py
@@ -1,7 +1,8 @@
 """A stand-in list service: pushes a versioned list to its subscribers, late, and misbehaves on command.
 
-A subscriber sends one line (wire.nodes.Ask) and gets lines (Told). A control connection sends one line instead,
-{"op": …}: set (entries to change), late (microseconds), silent (on), back (versions to go back), epoch (a new one).
+A subscriber sends one line (wire.nodes.Ask) and gets lines (Told). A control connection sends one line
+instead, {"op": …}: set (entries to change), late (microseconds), silent (on), back (versions to go back),
+epoch (a new one).
 """
 
 import gevent
--- a/martenrouter/standins/listing.py
+++ b/martenrouter/standins/listing.py
@@ -1,4 +1,5 @@
-"""The state of a list service, without I/O or clock: versions, what may be told by when, and how it misbehaves."""
+"""The state of a list service, without I/O or clock: versions, what may be told by when, and how it
+misbehaves."""
 
 from martenrouter.wire import nodes
 
@@ -38,7 +39,8 @@
         return list(entries.values())
 
     def news(self, now, at):
-        """What a subscriber that holds version `at` (-1: nothing) is told: (nodes.Told or None, the version it then holds)."""
+        """What a subscriber that holds version `at` (-1: nothing) is told: (nodes.Told or None, the version
+        it then holds)."""
         upto = self.visible(now)
         if at < 0 or at > upto:
             return nodes.Told("whole", self.epoch, upto, 0, self.whole(upto)), upto
--- a/martenrouter/standins/model.py
+++ b/martenrouter/standins/model.py
@@ -1,8 +1,9 @@
-"""One engine, without I/O or clock: steps, slots, a bounded queue, memory in tokens, kept prefixes, states that wait,
-moves that share a port or a link, cold starts. Stand-ins play it on sockets in real time, a laboratory in virtual time.
+"""One engine, without I/O or clock: steps, slots, a bounded queue, memory in tokens, kept prefixes, states
+that wait, moves that share a port or a link, cold starts. Stand-ins play it on sockets in real time, a
+laboratory in virtual time.
 
-Times are whole microseconds, work is in tokens. `advance(now)` plays what has happened by then and returns events:
-("read", id, found), ("fetch", id), ("token", id, index), ("done", id), ("moved", id), ("fell",).
+Times are whole microseconds, work is in tokens. `advance(now)` plays what has happened by then and returns
+events: ("read", id, found), ("fetch", id), ("token", id, index), ("done", id), ("moved", id), ("fell",).
 """
 
 import collections
@@ -64,8 +65,8 @@
     )
 
     def __init__(self, id, kind, chain, answer, keeps=False):
-        """`kind`: read (prompt only), write (fetches a state first), both (reads and writes). `keeps`: when it is done its
-        state waits here, as a read's does."""
+        """`kind`: read (prompt only), write (fetches a state first), both (reads and writes). `keeps`: when
+        it is done its state waits here, as a read's does."""
         self.id, self.kind, self.chain, self.answer, self.keeps = id, kind, chain, answer, keeps
         self.prompt = chain[-1][1] if chain else 0
         self.left = self.found = self.produced = 0
@@ -162,7 +163,8 @@
         return job.prompt + job.produced
 
     def fetch(self, now, id, near):
-        """A writer asks for a waiting state; False when there is none. ("moved", id) says when it has left."""
+        """A writer asks for a waiting state; False when there is none. ("moved", id) says when it has
+        left."""
         job = self.jobs.get(id)
         if job is None or job.state != WAITING:
             return False
--- a/martenrouter/state/last_list.py
+++ b/martenrouter/state/last_list.py
@@ -1,4 +1,5 @@
-"""The last list of engines on disk: written beside and renamed, so that a kill leaves the old one or the new one."""
+"""The last list of engines on disk: written beside and renamed, so that a kill leaves the old one or the new
+one."""
 
 import os
 
--- a/martenrouter/state/ledger.py
+++ b/martenrouter/state/ledger.py
@@ -1,10 +1,13 @@
-"""The usage ledger: entries on an embedded store (LMDB), appended and synced in groups, never overwritten; exported each once.
+"""The usage ledger: entries on an embedded store (LMDB), appended and synced in groups, never overwritten;
+exported each once.
 
-Keys: `e` + number (8 bytes) an entry with its checksum; `i` + identity its number; `o` + identity a reservation that is open; `m…` what the
-ledger knows of itself; `b` + number an entry set aside by a repair. A group is one transaction: after a crash it is there whole or not at
-all (LMDB writes pages anew and swaps the root last), so a torn tail is a group that isn't there; checksums find what a disk has changed.
+Keys: `e` + number (8 bytes) an entry with its checksum; `i` + identity its number; `o` + identity a
+reservation that is open; `m…` what the ledger knows of itself; `b` + number an entry set aside by a repair. A
+group is one transaction: after a crash it is there whole or not at all (LMDB writes pages anew and swaps the
+root last), so a torn tail is a group that isn't there; checksums find what a disk has changed.
 
-What a crash may lose: charges that were not synced, of which no client was told that its answer is done; see `append`.
+What a crash may lose: charges that were not synced, of which no client was told that its answer is done; see
+`append`.
 """
 
 import os
@@ -57,9 +60,10 @@
     # ---- writing ----
 
     def append(self, entries, opened=(), ended=()):
-        """One group: entries, reservations that were opened [(identity, fields)] and those that ended (identities). All are on disk when
-        it returns. An identity that is there already is passed over. Returns how many entries are new; raises Unusable when the disk is
-        full or read-only, and then none of the group is there."""
+        """One group: entries, reservations that were opened [(identity, fields)] and those that ended
+        (identities). All are on disk when it returns. An identity that is there already is passed over.
+        Returns how many entries are new; raises Unusable when the disk is full or read-only, and then none of
+        the group is there."""
         last, count = self.last, 0
         try:
             with self._env.begin(write=True) as txn:
@@ -84,8 +88,8 @@
         return count
 
     def resolve(self, make):
-        """At a start: reservations that a crash left get their entry by rule, `make(identity, fields)` (decisions/booking.py). Returns
-        their identities."""
+        """At a start: reservations that a crash left get their entry by rule, `make(identity, fields)`
+        (decisions/booking.py). Returns their identities."""
         left = []
         with self._env.begin() as txn:
             for key, value in _under(txn, b"o"):
@@ -107,8 +111,8 @@
         return entry
 
     def close_period(self, period, counts, make):
-        """Books the close of a period, `make(totals by customer)`; the entry, or the one that is there already. `counts(entry)`: whether
-        an entry of the period counts to its totals."""
+        """Books the close of a period, `make(totals by customer)`; the entry, or the one that is there
+        already. `counts(entry)`: whether an entry of the period counts to its totals."""
         known = self.find("%s/close/%s" % (self.front, period))
         if known is not None:
             return known
@@ -209,9 +213,10 @@
         return int.from_bytes(told, "big") if told else 0
 
     def export(self, directory, most=FILE_ENTRIES):
-        """Entries that were not exported yet, into files `FRONT-FIRST-LAST.jsonl`, each renamed into place when it is whole and on disk;
-        then the cursor moves. An export that was cut off in between finds its file by its first number and goes on after it. Returns the
-        names of the files made; raises Unusable."""
+        """Entries that were not exported yet, into files `FRONT-FIRST-LAST.jsonl`, each renamed into place
+        when it is whole and on disk; then the cursor moves. An export that was cut off in between finds its
+        file by its first number and goes on after it. Returns the names of the files made; raises
+        Unusable."""
         made = []
         try:
             os.makedirs(directory, exist_ok=True)
@@ -262,8 +267,9 @@
         return int.from_bytes(told, "big") if told else 0
 
     def compact(self, keep, most=1000):
-        """Removes up to `most` of the oldest entries that were exported, that the counters hold, and that are older than the last `keep`.
-        Their identities stay, so that a repeat is still known. Returns how many; 0 when there is nothing to do."""
+        """Removes up to `most` of the oldest entries that were exported, that the counters hold, and that are
+        older than the last `keep`. Their identities stay, so that a repeat is still known. Returns how many;
+        0 when there is nothing to do."""
         at, _ = self.counters()
         until = min(self.cursor(), at, self.last - keep)
         with self._env.begin() as txn:
@@ -312,7 +318,8 @@
 
 
 def _export_from(directory, front, first):
-    """(last number, name) of a whole export file that begins with `first`; parts that were cut off are removed."""
+    """(last number, name) of a whole export file that begins with `first`; parts that were cut off are
+    removed."""
     for name in sorted(os.listdir(directory)):
         path = os.path.join(directory, name)
         if name.startswith("%s-%d-" % (front, first)):
--- a/martenrouter/state/records.py
+++ b/martenrouter/state/records.py
@@ -1,8 +1,8 @@
 """The traffic record: a line of JSON for every message in and out at a process's sockets.
 
-Each line has `t` (monotonic microseconds; one clock for all processes of a machine), `wall` (microseconds), `who` (the
-process), `ev` (what it was) and the message's own fields. A line is one write to a file opened for appending, so that a
-process killed with SIGKILL loses nothing it had recorded.
+Each line has `t` (monotonic microseconds; one clock for all processes of a machine), `wall` (microseconds),
+`who` (the process), `ev` (what it was) and the message's own fields. A line is one write to a file opened for
+appending, so that a process killed with SIGKILL loses nothing it had recorded.
 """
 
 import os
--- a/martenrouter/state/snapshots.py
+++ b/martenrouter/state/snapshots.py
@@ -1,7 +1,9 @@
-"""What a planner has learnt, kept on an embedded store (LMDB): a few newest ones, each versioned and checksummed.
+"""What a planner has learnt, kept on an embedded store (LMDB): a few newest ones, each versioned and
+checksummed.
 
-A snapshot is whole or it isn't used: what is torn, of another version or of another front is set aside under a key of its own
-with a word why, and the next older one is tried. Writing never raises for a full disk or a locked store: it says so.
+A snapshot is whole or it isn't used: what is torn, of another version or of another front is set aside under
+a key of its own with a word why, and the next older one is tried. Writing never raises for a full disk or a
+locked store: it says so.
 """
 
 import os
@@ -41,7 +43,8 @@
         self._env.close()
 
     def save(self, wall, learnt):
-        """None, or why it was not saved. Waits while another program writes to the store: not to be called in a round."""
+        """None, or why it was not saved. Waits while another program writes to the store: not to be called in
+        a round."""
         data = msgspec.msgpack.encode(learnt)
         told = Snapshot(VERSION, self.front, wall, zlib.crc32(data), data)
         try:
@@ -61,8 +64,9 @@
         return None
 
     def newest(self):
-        """(wall, learnt, words about what is set aside); (0, None, …) without a whole one. Only reads, so that a store
-        which another program holds locked doesn't keep a planner from deciding; what is set aside moves with the next save."""
+        """(wall, learnt, words about what is set aside); (0, None, …) without a whole one. Only reads, so
+        that a store which another program holds locked doesn't keep a planner from deciding; what is set
+        aside moves with the next save."""
         words = []
         with self._env.begin() as txn:
             found = [(bytes(key), bytes(value)) for key, value in txn.cursor() if key.startswith(b"snap:")]
