--- a/martenrouter/wire/channel.py
+++ b/martenrouter/wire/channel.py
@@ -1,7 +1,9 @@
-"""What an edge and its planner say to each other over a Unix socket: frames of msgpack, four bytes of length before each.
+"""What an edge and its planner say to each other over a Unix socket: frames of msgpack, four bytes of length
+before each.
 
-This project's own; the version in the greeting tells builds apart. A frame that is cut short is waited for, one that is too
-large or no message is a BadFrame: the connection is closed and made anew, since nothing behind it can be trusted.
+This project's own; the version in the greeting tells builds apart. A frame that is cut short is waited for,
+one that is too large or no message is a BadFrame: the connection is closed and made anew, since nothing
+behind it can be trusted.
 """
 
 import struct
@@ -20,7 +22,8 @@
 
 
 class Welcome(msgspec.Struct, tag="welcome", array_like=True):
-    """The edge's: who it is and what its decisions need. Settings are those of the module and of the chain."""
+    """The edge's: who it is and what its decisions need. Settings are those of the module and of the
+    chain."""
 
     version: int
     front: str
--- a/martenrouter/wire/engine.py
+++ b/martenrouter/wire/engine.py
@@ -1,9 +1,10 @@
 """What a front and an engine say to each other.
 
-Published shapes: chat completions with server-sent events (OpenAI's API reference, "Chat Completions"; SSE by the WHATWG
-HTML standard, section 9.2), `kv_transfer_params` as engines with split reading and writing publish it (`do_remote_decode`
-on the read, `do_remote_prefill` and the rest handed on to the write), load as the ORCA header `endpoint-load-metrics`.
-This project's own beyond them, marked OWN: the path that lets a state go, and the header that proves that nothing ran.
+Published shapes: chat completions with server-sent events (OpenAI's API reference, "Chat Completions"; SSE by
+the WHATWG HTML standard, section 9.2), `kv_transfer_params` as engines with split reading and writing publish
+it (`do_remote_decode` on the read, `do_remote_prefill` and the rest handed on to the write), load as the ORCA
+header `endpoint-load-metrics`. This project's own beyond them, marked OWN: the path that lets a state go, and
+the header that proves that nothing ran.
 """
 
 import msgspec
@@ -14,8 +15,9 @@
 LET_GO = "/v1/kv/release"  # OWN: {"request_id": the read's X-Request-Id}; 200 let go, 404 none held
 NOT_RUN = "x-not-run"  # OWN: 1 says that the engine refused before it ran anything
 
-# status -> (ending in the module's words, note, whether it proves by itself that nothing ran). A 503 may come from
-# something on the way after the engine ran, so it proves only with the header; 412 is "no state to fetch".
+# status -> (ending in the module's words, note, whether it proves by itself that nothing ran). A 503 may come
+# from something on the way after the engine ran, so it proves only with the header; 412 is "no state to
+# fetch".
 STATUS = {429: ("full", 0, True), 412: ("full", 1, True), 503: ("full", 0, False)}
 
 
@@ -93,7 +95,8 @@
 
 
 def write(host, forward_id, trace, model, messages, max_tokens, state, key=None, tools=None, goes_on=False):
-    """The call that has an answer written; `state`: the read's parameters, None where the engine reads by itself.
+    """The call that has an answer written; `state`: the read's parameters, None where the engine reads by
+    itself.
     `goes_on`: the last message is the answer so far (`continue_final_message`, as engines publish it)."""
     body = {
         "model": model,
@@ -168,8 +171,8 @@
 def load_of(headers):
     """The load report of an answer's head in the module's words, None without one or with an unreadable one.
 
-    ORCA (xDS, `OrcaLoadReport`): the header's value is `JSON {…}` or `TEXT name=value,…`; what an engine measures by
-    its own names stands under `named_metrics`.
+    ORCA (xDS, `OrcaLoadReport`): the header's value is `JSON {…}` or `TEXT name=value,…`; what an engine
+    measures by its own names stands under `named_metrics`.
     """
     form, _, told = headers.get("endpoint-load-metrics", "").partition(" ")
     try:
--- a/martenrouter/wire/http.py
+++ b/martenrouter/wire/http.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages (RFC 9112) as bytes in, events out; the parsing is httptools'.
 
-A reader is fed what a socket gave and returns what is complete by then: ("head", Head), ("body", bytes), ("end",).
-Bytes that are not HTTP raise BadBytes, after which the connection can only be closed.
+A reader is fed what a socket gave and returns what is complete by then: ("head", Head), ("body", bytes),
+("end",). Bytes that are not HTTP raise BadBytes, after which the connection can only be closed.
 """
 
 import httptools
--- a/martenrouter/wire/jsonrpc.py
+++ b/martenrouter/wire/jsonrpc.py
@@ -1,7 +1,7 @@
 """The client door's messages: JSON-RPC 2.0 (jsonrpc.org/specification) in frames of text.
 
-`parse` gives what a frame holds: calls, answers to the front's own requests, and errors to send back. Codes below
--32000 are the specification's; -32001 and -32002 are this project's: pushed back and aborted.
+`parse` gives what a frame holds: calls, answers to the front's own requests, and errors to send back. Codes
+below -32000 are the specification's; -32001 and -32002 are this project's: pushed back and aborted.
 """
 
 import msgspec
--- a/martenrouter/wire/nodes.py
+++ b/martenrouter/wire/nodes.py
@@ -1,4 +1,5 @@
-"""The list of engines: newline-delimited JSON, this project's own (a full list, then changes; epoch and version)."""
+"""The list of engines: newline-delimited JSON, this project's own (a full list, then changes; epoch and
+version)."""
 
 import msgspec
 
--- a/martenrouter/wire/platform/__init__.py
+++ b/martenrouter/wire/platform/__init__.py
@@ -1,1 +1,2 @@
-"""Codecs of the operators' platform, without I/O: client reqs, engine answers, list of engines, configuration."""
+"""Codecs of the operators' platform, without I/O: client reqs, engine answers, list of engines,
+configuration."""
--- a/martenrouter/wire/platform/answers.py
+++ b/martenrouter/wire/platform/answers.py
@@ -1,11 +1,13 @@
-"""What goes to engines and what comes back: one table of endings in the module's words, load reports, calls to let go."""
+"""What goes to engines and what comes back: one table of endings in the module's words, load reports, calls
+to let go."""
 
 import msgspec
 
 from martenrouter.wire import http
 
-# status -> (ending, note) of an answer that is no stream. Endings that prove that nothing ran need the platform's mark;
-# without it a status proves nothing and is an error. What never came is not here: see node/engines.py.
+# status -> (ending, note) of an answer that is no stream. Endings that prove that nothing ran need the
+# platform's mark; without it a status proves nothing and is an error. What never came is not here: see
+# node/engines.py.
 NEVER_RAN = {503: ("full", 0), 504: ("full", 0), 410: ("full", 1)}
 READ = 202
 
--- a/martenrouter/wire/platform/asks.py
+++ b/martenrouter/wire/platform/asks.py
@@ -1,4 +1,5 @@
-"""A client's req as the platform's clients send it: a chat completion with a few headers of the platform's own."""
+"""A client's req as the platform's clients send it: a chat completion with a few headers of the platform's
+own."""
 
 import re
 
@@ -12,15 +13,18 @@
 )  # ids are 16 hex digits; all that is safe in a path and a head is passed on
 TIMEOUT_LIMIT = 86_400_000  # ms: a day; more is no wait that a client means
 CHARACTERS = 4  # make a token, by the protocol's page
-# What a proxy takes out of a head (RFC 9110, 7.6.1) besides what the connection's own names, and what it says itself; all else is the
-# client's word to whoever serves it, such as the key by which a repeat is known
+# What a proxy takes out of a head (RFC 9110, 7.6.1) besides what the connection's own names, and what it says
+# itself; all else is the client's word to whoever serves it, such as the key by which a repeat is known
 NOT_PASSED_ON = frozenset(
-    "connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer transfer-encoding upgrade "
+    "connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer "
+    "transfer-encoding upgrade "
     "expect host content-length x-timeout-ms accept-encoding".split()
 )  # the last: its events are read here
-# Heads that are the client's word to whoever serves it: a connection option of their name does not take them out
+# Heads that are the client's word to whoever serves it: a connection option of their name does not take them
+# out
 END_TO_END = frozenset(
-    "x-request-id x-priority-class x-route-key x-attrs x-cost x-retried x-tenant-id content-type authorization idempotency-key "
+    "x-request-id x-priority-class x-route-key x-attrs x-cost x-retried x-tenant-id content-type "
+    "authorization idempotency-key "
     "cache-control".split()
 )
 PASSED_ON_LIMIT = 8 * 1024  # bytes of head lines passed on: servers in the field take 8 KiB and more
@@ -40,7 +44,8 @@
 
 
 class Ask:
-    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session`, `customer` may be None; lengths in tokens; `headers`: pairs to pass on."""
+    """One req. `timeout`, `hint` in microseconds; `hint`, `prefix`, `session`, `customer` may be None;
+    lengths in tokens; `headers`: pairs to pass on."""
 
     __slots__ = (
         "id",
@@ -75,7 +80,8 @@
 
 
 def check_head(head, groups):
-    """What a head alone shows to be wrong, before its body has come. Raises BadAsk. `groups`: names that exist."""
+    """What a head alone shows to be wrong, before its body has come. Raises BadAsk. `groups`: names that
+    exist."""
     path = head.path.partition("?")[0]
     if path != PATH:
         raise BadAsk(404, "there is nothing at %s; reqs go to %s" % (path[:60], PATH))
@@ -105,7 +111,8 @@
 
 
 def name_of(head, line, known):
-    """What a head line names, of the names that the settings know: they may stand there in UTF-8 or in ISO 8859-1."""
+    """What a head line names, of the names that the settings know: they may stand there in UTF-8 or in ISO
+    8859-1."""
     told = head.headers.get(line)
     if told in known or told is None or told.isascii():
         return told
@@ -116,7 +123,8 @@
 
 
 def ask(head, body, groups=(), customers=()):
-    """Ask of a head that check_head passed, and its body; `groups`, `customers`: names that the settings know. Raises BadAsk."""
+    """Ask of a head that check_head passed, and its body; `groups`, `customers`: names that the settings
+    know. Raises BadAsk."""
     get = head.headers.get
     try:
         told = _body.decode(body)
--- a/martenrouter/wire/platform/configuration.py
+++ b/martenrouter/wire/platform/configuration.py
@@ -16,7 +16,8 @@
 
 
 class Configuration(msgspec.Struct):
-    """`seed`: any text; `settings`: for settings.told; `known`: the list of engines as last had, maybe old."""
+    """`seed`: any text; `settings`: for settings.told; `known`: the list of engines as last had, maybe
+    old."""
 
     name: str
     listen: str
--- a/martenrouter/wire/platform/events.py
+++ b/martenrouter/wire/platform/events.py
@@ -1,7 +1,7 @@
 """Server-sent events of an engine's answer: bytes in, whole events out, unchanged.
 
-An event is given only once it is whole, the chunk that brought it is whole, and it is one: what else a stream may hold was
-not made by an engine and must not reach a client.
+An event is given only once it is whole, the chunk that brought it is whole, and it is one: what else a stream
+may hold was not made by an engine and must not reach a client.
 """
 
 import msgspec
@@ -32,7 +32,8 @@
 
 
 class Events:
-    """`done`: the last event came; `found`: prompt tokens found kept; `load`: the report behind it, or None."""
+    """`done`: the last event came; `found`: prompt tokens found kept; `load`: the report behind it, or
+    None."""
 
     def __init__(self):
         self._part, self._size = b"", 0
--- a/martenrouter/wire/platform/members.py
+++ b/martenrouter/wire/platform/members.py
@@ -55,7 +55,8 @@
 
 
 def row(member, offset):
-    """A member as the module's entry; `offset`: microseconds from its clock's zero to the Unix epoch's, taken off."""
+    """A member as the module's entry; `offset`: microseconds from its clock's zero to the Unix epoch's, taken
+    off."""
     born = max(member.up_since_ms * 1000 - offset, 1) if member.up_since_ms else None
     return (
         PHASES.get(member.phase, "draining"),
@@ -78,8 +79,9 @@
 
 
 class Lines:
-    """Bytes in, whole objects out, each as its bytes. An object may stand on one line or, indented, on several; empty lines, which only
-    say that the watch lives, are left out. `count`: whole lines that came, empty ones too; who reads it sets it back."""
+    """Bytes in, whole objects out, each as its bytes. An object may stand on one line or, indented, on
+    several; empty lines, which only say that the watch lives, are left out. `count`: whole lines that came,
+    empty ones too; who reads it sets it back."""
 
     def __init__(self):
         self._rest, self._object, self._size, self._depth, self.count = b"", [], 0, 0, 0
--- a/martenrouter/wire/platform/messages.py
+++ b/martenrouter/wire/platform/messages.py
@@ -1,7 +1,8 @@
-"""HTTP/1.1 on the platform: readers that tell all that came before what can't be read, and bounds on what may come.
+"""HTTP/1.1 on the platform: readers that tell all that came before what can't be read, and bounds on what may
+come.
 
-`feed` gives ("head", Head), ("body", bytes), ("chunk",) after each whole chunk, ("end",), and as the last one ("bad", why)
-where bytes can't be read; nothing after that is looked at.
+`feed` gives ("head", Head), ("body", bytes), ("chunk",) after each whole chunk, ("end",), and as the last one
+("bad", why) where bytes can't be read; nothing after that is looked at.
 """
 
 from martenrouter.wire import http
@@ -26,7 +27,8 @@
             events = super().feed(data)
         except http.BadBytes as wrong:
             events, self._events, why = self._events, [], str(wrong)
-        # an endless head, trailer or chunk head is never told by the parser; what it has taken is counted here
+        # an endless head, trailer or chunk head is never told by the parser; what it has taken is counted
+        # here
         self._raw = 0 if self._whole else self._raw + len(data)
         if self._raw > self.raw_limit:
             why = why or "a message over %d bytes" % RAW_LIMIT
@@ -38,7 +40,8 @@
         return events
 
     def close(self):
-        """The parser and this hold each other: without this, what a req leaves would wait for the collector of cycles."""
+        """The parser and this hold each other: without this, what a req leaves would wait for the collector
+        of cycles."""
         self._parser = None
 
     @property
@@ -74,7 +77,8 @@
 
 
 class Requests(_Bounded, http.RequestReader):
-    """What a client sends. Fed in the pieces that `piece_end` names, it is never given a byte behind the request's last one."""
+    """What a client sends. Fed in the pieces that `piece_end` names, it is never given a byte behind the
+    request's last one."""
 
     def __init__(self):
         super().__init__()
@@ -86,7 +90,8 @@
             return super().feed(data)
         data, self._held = self._held + data, b""
         if self._at_line_start and UPGRADE.startswith(data[: len(UPGRADE)].lower()):
-            # other protocols are offered, never asked for (RFC 9110, 7.8), but the parser would take the body for one
+            # other protocols are offered, never asked for (RFC 9110, 7.8), but the parser would take the body
+            # for one
             if not data.endswith(b"\n") and len(data) < http.HEAD_LIMIT:
                 self._held = data
             return []
@@ -94,7 +99,8 @@
         return super().feed(data)
 
     def piece_end(self, data, start):
-        """Up to where `data` is to be fed from `start` on: a told body's end, else a line's, as a head and chunks end with one."""
+        """Up to where `data` is to be fed from `start` on: a told body's end, else a line's, as a head and
+        chunks end with one."""
         if self.bad:
             return len(data)
         if self._body_left:
@@ -132,7 +138,8 @@
 
 
 def plain(status, text, keep, more=(), with_body=True):
-    """A whole answer of the node's own, as bytes; `text` says to a person what is wrong. Without its body it answers HEAD."""
+    """A whole answer of the node's own, as bytes; `text` says to a person what is wrong. Without its body it
+    answers HEAD."""
     headers = [("content-type", "text/plain; charset=utf-8"), *more]
     if not keep:
         headers.append(("connection", "close"))
--- a/martenrouter/wire/tools.py
+++ b/martenrouter/wire/tools.py
@@ -1,8 +1,10 @@
-"""Tool calls: chat-completions deltas on the engines' side, the Model Context Protocol's `tools/call` on the clients'.
+"""Tool calls: chat-completions deltas on the engines' side, the Model Context Protocol's `tools/call` on the
+clients'.
 
-Engines stream a call in pieces (OpenAI's API reference, chat completion chunks: `delta.tool_calls` with index, id,
-function.name, function.arguments to be joined). Clients get a JSON-RPC request `tools/call` (MCP specification, "Tools":
-params name and arguments; result content and isError); `_meta` carries what this project adds.
+Engines stream a call in pieces (OpenAI's API reference, chat completion chunks: `delta.tool_calls` with
+index, id, function.name, function.arguments to be joined). Clients get a JSON-RPC request `tools/call` (MCP
+specification, "Tools": params name and arguments; result content and isError); `_meta` carries what this
+project adds.
 """
 
 import msgspec
@@ -103,7 +105,8 @@
 
 
 def call(rpc_id, generate_id, identity, whole, again):
-    """The request to the client. `identity` is the same whenever the same call is sent: a client runs it once."""
+    """The request to the client. `identity` is the same whenever the same call is sent: a client runs it
+    once."""
     meta = {"generate": generate_id, "call": identity}
     if again:
         meta["again"] = True
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -1,6 +1,8 @@
-"""Many fronts, each with a module of its own, against readers and writers of which one comes back cold: what all of them send it.
+"""Many fronts, each with a module of its own, against readers and writers of which one comes back cold: what
+all of them send it.
 
-Engines here only take their time; reqs come by chance to fronts drawn by chance. A restarted front knows nothing but the list.
+Engines here only take their time; reqs come by chance to fronts drawn by chance. A restarted front knows
+nothing but the list.
 """
 
 import heapq
@@ -22,10 +24,11 @@
     skew=0.0,
     fails=0.0,
 ):
-    """[(microseconds after its start, sends in the window that ends then, what the settings allow it there)] of each send to it
-    while it warms up.
-    `fresh`: the part of the fronts that restart as they hear of it, each at a moment of its own; `capacity`: reqs a second; `skew`: the
-    part of all reqs that comes to one front; `fails`: the part of the sends to it that it refuses or resets, which are sent again."""
+    """[(microseconds after its start, sends in the window that ends then, what the settings allow it there)]
+    of each send to it while it warms up.
+    `fresh`: the part of the fronts that restart as they hear of it, each at a moment of its own; `capacity`:
+    reqs a second; `skew`: the part of all reqs that comes to one front; `fails`: the part of the sends to it
+    that it refuses or resets, which are sent again."""
     chance, window, warm = random.Random(seed), 3_000_000, 8_000_000
     cold, rows = (
         "r0" if role == "rd" else "w0",
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,9 @@
 """Passes all tests, but for those that KNOWN-RED.txt at the root names: `python -m tests.run`.
 
-A line there is `test | cause | issue`, three at most. Just these may fail; they are printed, and so is one of them that passes.
-Anything else that is red fails the run: another test, a line that is malformed, one too many, or a test that does not exist;
-and so does a run of no test. The last line is `N passed, N failed, N skipped`; a known red one counts as skipped.
+A line there is `test | cause | issue`, three at most. Just these may fail; they are printed, and so is one of
+them that passes. Anything else that is red fails the run: another test, a line that is malformed, one too
+many, or a test that does not exist; and so does a run of no test. The last line is `N passed, N failed, N
+skipped`; a known red one counts as skipped.
 """
 
 import os
@@ -43,7 +44,8 @@
 
 
 def verdict(red, ran, failed, skipped, exist):
-    """(lines to print, whether all is well) of the names of tests: `red` as of `known`, the others as sets or lists."""
+    """(lines to print, whether all is well) of the names of tests: `red` as of `known`, the others as sets or
+    lists."""
     lines, failed = [], set(failed)
     wrong = [name for name in red if name not in exist]
     lines += ["KNOWN-RED.txt names a test that does not exist: %s" % name for name in wrong]
--- a/tests/sockets/dying.py
+++ b/tests/sockets/dying.py
@@ -1,6 +1,7 @@
 """A planner that dies at one step of its rounds: `python -m tests.sockets.dying STEP ROUNDS planner …`.
 
-Steps: before (a round was read, nothing decided), decided (nothing written), half (half a frame written), after (all written).
+Steps: before (a round was read, nothing decided), decided (nothing written), half (half a frame written),
+after (all written).
 """
 
 import os
--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -1,7 +1,9 @@
-"""Fault injection drawn by seed: a front node under drawn settings on loopback, servers and clients that fail as the pages allow.
+"""Fault injection drawn by seed: a front node under drawn settings on loopback, servers and clients that fail
+as the pages allow.
 
-`python -m tests.sockets.fault_scenarios FIRST COUNT` plays seeds and prints what broke a rule; one seed alone is played again
-the same way (settings, faults and their order; the system's timing is its own). The oracle reads what clients and servers saw.
+`python -m tests.sockets.fault_scenarios FIRST COUNT` plays seeds and prints what broke a rule; one seed alone
+is played again the same way (settings, faults and their order; the system's timing is its own). The oracle
+reads what clients and servers saw.
 """
 
 import collections
@@ -15,7 +17,7 @@
 from gevent import socket
 
 from martenrouter.wire import http
-from tests.sockets.node_rig import BODY, HEAD, SETTINGS, Client, Engine, Rig, request
+from tests.sockets.node_rig import BODY, HEAD, SETTINGS, Engine, Rig, request
 
 CLIENTS = 14  # of one scenario
 MOST_AT_ONCE = 3  # requests that a client sends behind one another
@@ -31,8 +33,8 @@
 
 @dataclasses.dataclass
 class Attempt:
-    """One request as a server got it: `begun` when its last byte was there, `ended` when the server was done with it or its connection
-    closed, `ran` whether it may have had an effect."""
+    """One request as a server got it: `begun` when its last byte was there, `ended` when the server was done
+    with it or its connection closed, `ran` whether it may have had an effect."""
 
     server: str
     kind: str
@@ -48,8 +50,8 @@
 
 @dataclasses.dataclass
 class Request:
-    """One request as its client saw it. `ended`: when the client closed or had its whole answer; `behind`: whether another stood before it
-    on its connection."""
+    """One request as its client saw it. `ended`: when the client closed or had its whole answer; `behind`:
+    whether another stood before it on its connection."""
 
     id: str
     group: dict
@@ -392,7 +394,8 @@
         return self.wrong
 
     def _watch_loop(self):
-        """How long this process's loop was held: so much is added to what is allowed, as clients and servers live in it too."""
+        """How long this process's loop was held: so much is added to what is allowed, as clients and servers
+        live in it too."""
         while True:
             due = time.monotonic() + 0.005
             gevent.sleep(0.005)
--- a/tests/sockets/mutants.py
+++ b/tests/sockets/mutants.py
@@ -1,4 +1,5 @@
-"""Fronts that break a rule each: `python -m tests.sockets.mutants NAME edge …` runs the edge with one thing patched."""
+"""Fronts that break a rule each: `python -m tests.sockets.mutants NAME edge …` runs the edge with one thing
+patched."""
 
 import sys
 
--- a/tests/sockets/node_rig.py
+++ b/tests/sockets/node_rig.py
@@ -1,4 +1,5 @@
-"""A front node in this process, with engines, a list's agent and clients of the platform, all scripted, on loopback."""
+"""A front node in this process, with engines, a list's agent and clients of the platform, all scripted, on
+loopback."""
 
 import json
 import os
@@ -51,7 +52,8 @@
 
 
 class Engine(rig.Engine):
-    """`script(engine, sock, call, nth)` answers one call; `call` has head and body. Without it, as the platform's do."""
+    """`script(engine, sock, call, nth)` answers one call; `call` has head and body. Without it, as the
+    platform's do."""
 
     def _call(self, sock, head, body):
         if head.method == "DELETE":
@@ -95,7 +97,8 @@
 
 
 class Agent:
-    """The list's agent. `asked`: paths of the watches; `greeting`: what one gets first, or None for silence."""
+    """The list's agent. `asked`: paths of the watches; `greeting`: what one gets first, or None for
+    silence."""
 
     def __init__(self):
         self.asked, self.open, self.greeting = [], [], self.line(1, [], False)
@@ -151,7 +154,8 @@
         return self.send(request(id, body, **headers))
 
     def answer(self):
-        """(status, headers, body) of the next answer, as far as it came before the connection's end; status None: a close."""
+        """(status, headers, body) of the next answer, as far as it came before the connection's end; status
+        None: a close."""
         status, headers, body = None, {}, b""
         try:
             while True:
--- a/tests/sockets/rig.py
+++ b/tests/sockets/rig.py
@@ -1,4 +1,5 @@
-"""A front in this process, engines whose every answer is scripted, a list file; all on loopback, one gevent loop."""
+"""A front in this process, engines whose every answer is scripted, a list file; all on loopback, one gevent
+loop."""
 
 import json
 import os
@@ -23,7 +24,8 @@
 
 
 class Engine:
-    """`script(engine, sock, call, nth)` answers one call; without it a read keeps a state and a write sends `words`."""
+    """`script(engine, sock, call, nth)` answers one call; without it a read keeps a state and a write sends
+    `words`."""
 
     def __init__(self, id, kind, cell=0, script=None, words=("a", "b", "c")):
         self.id, self.kind, self.cell, self.script, self.words = id, kind, cell, script, words
--- a/tests/sockets/test_budgets_at_the_edge.py
+++ b/tests/sockets/test_budgets_at_the_edge.py
@@ -1,4 +1,5 @@
-"""Budgets and the ledger in a front on sockets: caps reached midway, charged once, crashes between the last token and the sync."""
+"""Budgets and the ledger in a front on sockets: caps reached midway, charged once, crashes between the last
+token and the sync."""
 
 import json
 import os
@@ -263,10 +264,12 @@
 
 
 class Killed(Case):
-    """A front as a process, killed where it is asked to be; its ledger is read afterwards, and by the front that follows."""
+    """A front as a process, killed where it is asked to be; its ledger is read afterwards, and by the front
+    that follows."""
 
     CODE = (
-        "import os, sys\nfrom martenrouter.edge.books import Books\nfrom martenrouter.state.ledger import Ledger\nstep = sys.argv.pop(1)\n"
+        "import os, sys\nfrom martenrouter.edge.books import Books\nfrom martenrouter.state.ledger import "
+        "Ledger\nstep = sys.argv.pop(1)\n"
         "append, settled = Ledger.append, Books.settled\n"
         "def booked(self, entries, *rest):\n"
         "    if entries and step == 'before the sync':\n        os.kill(os.getpid(), 9)\n"
--- a/tests/sockets/test_conversations.py
+++ b/tests/sockets/test_conversations.py
@@ -1,13 +1,12 @@
-"""Answers that stop for tools: the cases in which a conversation could be lost, doubled or spoilt, each on sockets."""
+"""Answers that stop for tools: the cases in which a conversation could be lost, doubled or spoilt, each on
+sockets."""
 
-import json
 import unittest
 
 import gevent
 
 from martenrouter.wire import http, jsonrpc
 from tests.sockets.rig import Engine, Rig, ending
-from tests.sockets.test_hard_cases import hang
 
 TOOLS = [{"name": "meter", "repeatable": True}, {"name": "bill", "repeatable": True}, {"name": "set_valve"}]
 
@@ -166,7 +165,8 @@
 
 class Failures(Case):
     def answer_when(self, rig, then, **params):
-        """Plays a pause; `then(rig)` happens in it before the tool's reply. Returns (ending, came, the writer first used)."""
+        """Plays a pause; `then(rig)` happens in it before the tool's reply. Returns (ending, came, the writer
+        first used)."""
 
         def tool(p):
             then(rig)
--- a/tests/sockets/test_crossings.py
+++ b/tests/sockets/test_crossings.py
@@ -1,7 +1,9 @@
-"""Two events that cross, forced one by one on loopback sockets; docs/crossings.md has the table these stand in.
+"""Two events that cross, forced one by one on loopback sockets; docs/crossings.md has the table these stand
+in.
 
-"Not yet heard" is forced by writing from a plain socket without giving the node's loop a turn; "not yet stopped" by holding back
-the kill of a forward's greenlet; "just then" by doing one event inside a call that the other makes.
+"Not yet heard" is forced by writing from a plain socket without giving the node's loop a turn; "not yet
+stopped" by holding back the kill of a forward's greenlet; "just then" by doing one event inside a call that
+the other makes.
 """
 
 import collections
@@ -13,7 +15,6 @@
 from unittest import mock
 
 import gevent
-from gevent import socket
 
 from martenrouter.edge import clock
 from martenrouter.node import door as door_module
@@ -53,10 +54,12 @@
 
 
 class ManyAtOnce(Case):
-    """A client sends on while its req is open: nothing of what was taken may be lost by it, and its close is still seen."""
+    """A client sends on while its req is open: nothing of what was taken may be lost by it, and its close is
+    still seen."""
 
     def statuses(self, client, count):
-        """How often each status came, in answers that may come together, up to `count` of them or the connection's end."""
+        """How often each status came, in answers that may come together, up to `count` of them or the
+        connection's end."""
         data = b""
         while data.count(b"HTTP/1.1 ") < count and (more := client.sock.recv(65536)):
             data += more
@@ -138,7 +141,8 @@
 
 
 class Closing(Case):
-    """A connection is closed, or another makes room for a newcomer, in the moment in which something comes on it."""
+    """A connection is closed, or another makes room for a newcomer, in the moment in which something comes on
+    it."""
 
     def test_what_came_before_the_close_of_a_resting_connection_is_never_sent_on_after_it(self):
         rig = self.pair()
@@ -225,7 +229,8 @@
 
 class Forwards(Case):
     def test_first_event_that_crosses_the_cancel(self):
-        """The forward has been cancelled and another is out, its greenlet is not stopped yet, and its first event is there."""
+        """The forward has been cancelled and another is out, its greenlet is not stopped yet, and its first
+        event is there."""
         go = gevent.event.Event()
 
         def slow(engine, sock, call, nth):
@@ -262,7 +267,8 @@
         self.assertEqual((client.answer()[2], client.last), (EVENTS[0], False))
 
     def test_a_stream_that_stopped_ends_whether_or_not_its_client_asks_for_the_rest(self):
-        """Its engine runs and has written its last event; the client has to be let off within 5 s. Found on two sites."""
+        """Its engine runs and has written its last event; the client has to be let off within 5 s. Found on
+        two sites."""
 
         def stops(engine, sock, call, nth):
             sock.sendall(HEAD + http.chunk(EVENTS[0]))
@@ -280,7 +286,8 @@
             rig.close()
 
     def test_a_state_that_its_writer_could_not_get_is_let_go(self):
-        """Its reader may only be cut off from that writer. Found on a brink day of a variant: held past the limit."""
+        """Its reader may only be cut off from that writer. Found on a brink day of a variant: held past the
+        limit."""
         gone = http.response(410, [("x-not-processed", "1")])
         rig = self.pair(
             write=lambda engine, sock, call, nth: sock.sendall(gone),
@@ -393,7 +400,8 @@
         self.assertEqual(len(rig.engines["r"].calls), 1)
 
     def test_a_second_answer_that_comes_behind_the_first_is_no_answer_to_the_next_req(self):
-        """Some milliseconds late, on a connection that is in use again by then: one client would get another's text."""
+        """Some milliseconds late, on a connection that is in use again by then: one client would get
+        another's text."""
 
         def twice(engine, sock, call, nth):
             if nth == 2:
@@ -410,7 +418,8 @@
         self.assertEqual((status, b'"z"' in body), (200, False))
 
     def test_a_reset_that_comes_with_the_last_byte_and_an_answer_behind_it(self):
-        """Bytes of an answer that stand before the reset in the system are not seen; nothing is answered twice."""
+        """Bytes of an answer that stand before the reset in the system are not seen; nothing is answered
+        twice."""
         rig = self.rig(
             Engine("r", "prefill"),
             Engine("w", "decode", script=first(ends(HEAD))),
@@ -429,8 +438,8 @@
         """A node of its own process in which `before` (Python lines) runs before its command does."""
         code = (
             before
-            + "\nimport sys\nfrom martenrouter.cli.main import main\nsys.argv = ['martenrouter', 'node', %r]\nmain()\n"
-            % rig.path
+            + "\nimport sys\nfrom martenrouter.cli.main import main\nsys.argv = ['martenrouter', 'node', "
+            "%r]\nmain()\n" % rig.path
         )
         return subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stderr=subprocess.PIPE)
 
@@ -499,7 +508,8 @@
         self.assertEqual(rig.ask()[0], 200)
 
     def test_a_req_that_comes_between_the_last_look_and_the_exit_is_served_to_its_end(self):
-        """Where clients don't ask for the rest, its stream runs longer than the time by which answers are due."""
+        """Where clients don't ask for the rest, its stream runs longer than the time by which answers are
+        due."""
 
         def long(engine, sock, call, nth):
             sock.sendall(HEAD + http.chunk(EVENTS[0]))
--- a/tests/sockets/test_effects.py
+++ b/tests/sockets/test_effects.py
@@ -1,4 +1,5 @@
-"""Non-replayable and keyed reqs while their engines reset, restart and leave: no double effect, and one answer."""
+"""Non-replayable and keyed reqs while their engines reset, restart and leave: no double effect, and one
+answer."""
 
 import unittest
 
@@ -17,7 +18,8 @@
 
 class Effects(Case):
     def fleet(self, grade, fails):
-        """A reader and two writers in cells of their own; the first forward to a writer ends as `fails(rig, engine, sock)` has it."""
+        """A reader and two writers in cells of their own; the first forward to a writer ends as `fails(rig,
+        engine, sock)` has it."""
         said = []
 
         def script(engine, sock, call, nth):
@@ -51,7 +53,8 @@
                 rig.close()
 
     def test_an_engine_that_restarts_under_the_req(self):
-        """Its process dies, the list tells of a new one under the same id at another address, and then of a drain."""
+        """Its process dies, the list tells of a new one under the same id at another address, and then of a
+        drain."""
 
         def restarts(rig, engine, sock):
             new = Engine(engine.id, "decode", cell=engine.cell)
@@ -106,7 +109,8 @@
             rig.close()
 
     def test_a_long_stream_without_resume_outlives_a_stop(self):
-        """Where clients don't ask for the rest, a stop waits for a stream's end, past the time by which answers are due."""
+        """Where clients don't ask for the rest, a stop waits for a stream's end, past the time by which
+        answers are due."""
         go = gevent.event.Event()
 
         def long(rig, engine, sock):
--- a/tests/sockets/test_fault_injection.py
+++ b/tests/sockets/test_fault_injection.py
@@ -1,6 +1,8 @@
-"""Faults injected at clients, servers and in the process: each request gets one whole answer, and nothing is sent for it after it.
+"""Faults injected at clients, servers and in the process: each request gets one whole answer, and nothing is
+sent for it after it.
 
-Each test was seen to fail before the change that it guards; the incident page docs/incidents/2026-12-02-fault-injection.md says how.
+Each test was seen to fail before the change that it guards; the incident page
+docs/incidents/2026-12-02-fault-injection.md says how.
 """
 
 import os
@@ -26,7 +28,8 @@
 
 
 def slow_client(rig):
-    """(socket, connection): a client that reads only what the test reads, with as little buffered by the system as can be."""
+    """(socket, connection): a client that reads only what the test reads, with as little buffered by the
+    system as can be."""
     rig.node.door.server.socket.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_SNDBUF, SMALL_BUFFER)
     sock = plain_socket.socket()
     sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, SMALL_BUFFER)
@@ -38,7 +41,8 @@
 
 
 def read_to_end(sock, within=5):
-    """(bytes, how the connection ended: "end", "reset" or "open") as a client sees it, the loop running meanwhile."""
+    """(bytes, how the connection ended: "end", "reset" or "open") as a client sees it, the loop running
+    meanwhile."""
     data, until = b"", time.monotonic() + within
     sock.setblocking(False)
     while time.monotonic() < until:
@@ -114,7 +118,8 @@
 
 
 class ReadMeansAnswered(Case):
-    """What is read is answered; what can't be answered is not read, and its client sends it again elsewhere."""
+    """What is read is answered; what can't be answered is not read, and its client sends it again
+    elsewhere."""
 
     def test_a_request_behind_a_stream_that_breaks_is_not_read(self):
         rig = self.pair(
@@ -144,7 +149,8 @@
         )
 
     def test_a_request_that_follows_a_stream_in_a_stop_is_not_read(self):
-        """Its head promised a connection that goes on, before the stop began; read now, it might be cut by the kill."""
+        """Its head promised a connection that goes on, before the stop began; read now, it might be cut by
+        the kill."""
         go = gevent.event.Event()
 
         def write(engine, sock, call, nth):
@@ -286,10 +292,12 @@
 
 
 class NothingBeginsAfterTheEnd(Case):
-    """An attempt begins with its last byte: one that is not whole when its request ends must never become so."""
+    """An attempt begins with its last byte: one that is not whole when its request ends must never become
+    so."""
 
     def written_in_part(self, body_size, **settings):
-        """(rig, client, server): a request whose body a server has taken in part, its process reading nothing."""
+        """(rig, client, server): a request whose body a server has taken in part, its process reading
+        nothing."""
         body = b'{"messages":[{"role":"user","content":"%s"}]}' % (b"x" * body_size)
         reader = Engine("r", "prefill")
         server = Unread()
@@ -400,7 +408,8 @@
 
 class WrongAnswers(Case):
     def test_bytes_that_come_before_a_request_is_whole_are_no_answer_to_it(self):
-        """A second answer behind the first, late: while the next request is being written on the connection."""
+        """A second answer behind the first, late: while the next request is being written on the
+        connection."""
         body = b'{"messages":[{"role":"user","content":"%s"}]}' % (b"x" * 240_000)
         stale = HEAD + b"".join(map(http.chunk, EVENTS)).replace(b'"a"', b'"z"') + http.chunk(b"")
         listener = Unread()
@@ -483,7 +492,8 @@
         rig.until(lambda: ID in rig.engines["r"].released + rig.engines["w"].released, within=1)
 
     def test_a_state_does_not_wait_longer_than_it_may_for_a_connection_that_never_comes_up(self):
-        """Connections may take longer to fail than states may be held: 600 and 200 ms on the variant embalse-lleida."""
+        """Connections may take longer to fail than states may be held: 600 and 200 ms on the variant
+        embalse-lleida."""
         settings = {
             "policy-limits": {**SETTINGS["policy-limits"], "connect-timeout-us": 600_000},
             "family-info": {**SETTINGS["family-info"], "pin-limit-us": 200_000},
--- a/tests/sockets/test_fault_scenarios.py
+++ b/tests/sockets/test_fault_scenarios.py
@@ -1,4 +1,5 @@
-"""A fixed set of drawn fault scenarios keeps every rule, and the oracle catches each rule that is broken on purpose."""
+"""A fixed set of drawn fault scenarios keeps every rule, and the oracle catches each rule that is broken on
+purpose."""
 
 import unittest
 from unittest import mock
--- a/tests/sockets/test_hard_cases.py
+++ b/tests/sockets/test_hard_cases.py
@@ -63,7 +63,8 @@
 
 class LateAnswers(Case):
     def test_answer_after_a_cancel_is_dropped(self):
-        """A writer sits on its req, is cancelled, and answers all the same; the second one's answer is the answer."""
+        """A writer sits on its req, is cancelled, and answers all the same; the second one's answer is the
+        answer."""
 
         def slow_first(engine, sock, told, nth):
             if len(told["messages"][0]["content"]) > 5:  # the first req only
@@ -430,7 +431,8 @@
             )
 
     def test_a_thousand_reqs_and_nothing_read(self):
-        """Unread tokens are bounded; another client is not held up; what is open ends, and the memory comes back."""
+        """Unread tokens are bounded; another client is not held up; what is open ends, and the memory comes
+        back."""
         words = ["w" * 200] * 300
 
         def much(engine, sock, told, nth):
--- a/tests/sockets/test_judge_catches.py
+++ b/tests/sockets/test_judge_catches.py
@@ -1,4 +1,5 @@
-"""A front that breaks a rule is found out from the traffic, by the rule's name; an honest one on the same day is not."""
+"""A front that breaks a rule is found out from the traffic, by the rule's name; an honest one on the same day
+is not."""
 
 import json
 import os
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -126,7 +126,8 @@
             self.assertEqual(engine.load, {"reqs_held": 1.0, "memory_share": 0.25})
 
     def test_what_the_client_says_to_whoever_serves_it_is_passed_on(self):
-        # found on a variant of a site with a keyed group: its engines know a repeat by a key of the client's, which was left out
+        # found on a variant of a site with a keyed group: its engines know a repeat by a key of the client's,
+        # which was left out
         rig = self.pair()
         client = rig.client().ask(
             idempotency_key='"3f-9"',
@@ -347,7 +348,8 @@
 
 
 class ClientsThatLeave(Case):
-    """Nothing begins for a client that has closed, read or not: FIN, a reset, or only its half, which counts as gone too."""
+    """Nothing begins for a client that has closed, read or not: FIN, a reset, or only its half, which counts
+    as gone too."""
 
     WAYS = {
         "fin": lambda sock: sock.close(),
@@ -424,8 +426,9 @@
         self.settled(rig)
 
     def test_state_of_a_broken_read_goes_while_other_engines_take_no_connection(self):
-        # found on a fleet day: a read was reset, then one engine after the other of a silent zone took 250 ms to fail; what the
-        # read may have left stayed for a second, since a forward that only connects counted as out
+        # found on a fleet day: a read was reset, then one engine after the other of a silent zone took 250 ms
+        # to fail; what the read may have left stayed for a second, since a forward that only connects counted
+        # as out
         home, *others = sorted(("r%d" % i for i in range(4)), key=lambda id: -draw("k1", id))
         rig = self.rig(
             Engine(home, "prefill", script=ends_always()),
@@ -443,7 +446,8 @@
         self.settled(rig)
 
     def test_state_of_a_silent_read_goes_by_an_engine_that_answered_lately(self):
-        # guards against a call made first at the engine that has just been silent, which costs the time that the state has left
+        # guards against a call made first at the engine that has just been silent, which costs the time that
+        # the state has left
         def then_silent(engine, sock, call, nth):
             return engine.answer(sock, call) if nth == 1 else hang(engine, sock, call, nth)
 
@@ -566,7 +570,8 @@
         self.assertEqual(rig.ask()[0], 200)
 
     def test_each_way_in_which_a_watch_fails_leads_to_a_new_one(self):
-        # the term: what discovery has counts as told, whatever failed before; each of these had to end for the change to be heard
+        # the term: what discovery has counts as told, whatever failed before; each of these had to end for
+        # the change to be heard
         trickle = http.chunk(b'{"revision":2,') + http.chunk(b' "complete"')
         for name, greeting, then in (
             ("silent", Agent.line(1, []), b""),
@@ -746,7 +751,8 @@
             self.assertTrue(client.closed())
 
     def test_reqs_over_the_bound_are_pushed_back_and_the_others_served(self):
-        # guards the reserve of descriptors: each open req may hold one at an engine, whatever its client's connection
+        # guards the reserve of descriptors: each open req may hold one at an engine, whatever its client's
+        # connection
         go = gevent.event.Event()
         rig = self.pair(
             read=lambda engine, sock, call, nth: go.wait(5) and engine.answer(sock, call), sockets=64
@@ -879,7 +885,8 @@
         self.ended(rig, process, log)
 
     def test_what_came_just_before_a_close_is_answered(self):
-        """The clients here write without giving the node's loop a turn: their bytes and connections wait in the system."""
+        """The clients here write without giving the node's loop a turn: their bytes and connections wait in
+        the system."""
         for name, act in (
             ("idle for long", lambda node: node.door.sweep(clock.now() + 60_000_000)),
             ("stopping", lambda node: node.door.close_idle()),
@@ -929,7 +936,8 @@
         rig.until(lambda: not rig.engines["w"].socks)
 
     def test_planned_stop_answers_before_the_kill_whatever_the_deadline(self):
-        """Open reqs and one taken after SIGTERM: the kill would come long before the minute that their clients wait."""
+        """Open reqs and one taken after SIGTERM: the kill would come long before the minute that their
+        clients wait."""
         for resume in (True, False):
             rig = self.pair(
                 write=hang,
@@ -993,9 +1001,12 @@
 
     def test_only_what_a_node_needs_is_loaded(self):
         code = (
-            "import sys; import martenrouter.cli.node, martenrouter.cli.main, martenrouter.node.life, martenrouter.edge.log;"
-            "print([m for m in sys.modules if m.split('.')[0] in ('lmdb', 'rjsonnet', 'wsproto', 'matplotlib', 'hdrh')"
-            " or m.startswith(('martenrouter.planner', 'martenrouter.state', 'martenrouter.decisions.chain'))])"
+            "import sys; import martenrouter.cli.node, martenrouter.cli.main, martenrouter.node.life, "
+            "martenrouter.edge.log;"
+            "print([m for m in sys.modules if m.split('.')[0] in ('lmdb', 'rjsonnet', 'wsproto', "
+            "'matplotlib', 'hdrh')"
+            " or m.startswith(('martenrouter.planner', 'martenrouter.state', "
+            "'martenrouter.decisions.chain'))])"
         )
         done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(done.stdout.strip(), "[]", done.stderr)
--- a/tests/sockets/test_node_settings.py
+++ b/tests/sockets/test_node_settings.py
@@ -41,7 +41,8 @@
                 rig.write(rig.agent.address)
 
     def test_names_with_blanks_and_commas_and_a_customer_s_share(self):
-        """As they stand in heads and lists: a customer's reqs over its share come after the others' (one a second here)."""
+        """As they stand in heads and lists: a customer's reqs over its share come after the others' (one a
+        second here)."""
 
         def read(engine, sock, call, nth):
             sock.sendall(http.response(202, (), b'{"cached_tokens":4}'))
@@ -81,7 +82,8 @@
         self.settled(rig)
 
     def test_a_silent_writer_is_left_where_a_repeat_has_no_effect(self):
-        """Keyed, within its window and group: another writer answers; else the req waits for the one that may have run it."""
+        """Keyed, within its window and group: another writer answers; else the req waits for the one that may
+        have run it."""
         for effect, scope, window, cell, status, calls in (
             ("guarded", "all", 60_000_000, 0, 200, 2),
             ("guarded", "cell", 60_000_000, 1, 502, 1),
--- a/tests/sockets/test_planner.py
+++ b/tests/sockets/test_planner.py
@@ -1,4 +1,5 @@
-"""Two programs: the planner killed, stopped, slow, doubled, talking nonsense; the edge goes on, each req answered once."""
+"""Two programs: the planner killed, stopped, slow, doubled, talking nonsense; the edge goes on, each req
+answered once."""
 
 import os
 import signal
--- a/tests/sockets/test_rehearse.py
+++ b/tests/sockets/test_rehearse.py
@@ -44,7 +44,8 @@
     def test_a_day_that_is_not_as_expected_fails(self):
         with tempfile.NamedTemporaryFile("w", suffix=".jsonnet") as file:
             file.write(
-                "{ name: 'none', about: 'no writer', seconds: 1.5, cells: [{ rd: 1 }], traffic: { rate: 10, retries: 0 },"
+                "{ name: 'none', about: 'no writer', seconds: 1.5, cells: [{ rd: 1 }], traffic: { rate: 10,"
+                " retries: 0 },"
                 " expect: { done_at_least: 0.5 } }"
             )
             file.flush()
--- a/tests/sockets/test_roster.py
+++ b/tests/sockets/test_roster.py
@@ -139,7 +139,8 @@
             sock.sendall(
                 b"\xff\xfe not a list\n"
                 if len(said) < 3
-                else b'{"scope":"whole","epoch":1,"version":1,"entries":[{"id":"a","phase":"up","address":"h:1"}]}\n'
+                else b'{"scope":"whole","epoch":1,"version":1,"entries":[{"id":"a","phase":"up",'
+                b'"address":"h:1"}]}\n'
             )
             gevent.sleep(60)
 
--- a/tests/sockets/test_terms.py
+++ b/tests/sockets/test_terms.py
@@ -1,4 +1,5 @@
-"""Terms of the standing test on sockets: events pass on one by one, whoever else is slow; nothing begins for a client that left."""
+"""Terms of the standing test on sockets: events pass on one by one, whoever else is slow; nothing begins for
+a client that left."""
 
 import unittest
 
@@ -11,7 +12,8 @@
 
 
 class Locked:
-    """A writer's script: each event is written only after the one before it has reached its client. `times`: repeats of EVENTS[0];
+    """A writer's script: each event is written only after the one before it has reached its client. `times`:
+    repeats of EVENTS[0];
     `alone`: ids of reqs that are written without waiting."""
 
     def __init__(self, times, size=1, alone=()):
--- a/tests/test_adopting.py
+++ b/tests/test_adopting.py
@@ -1,4 +1,5 @@
-"""A decider rebuilt from facts goes on where the one before it was: the module's `adopted`, what was learnt, the chain."""
+"""A decider rebuilt from facts goes on where the one before it was: the module's `adopted`, what was learnt,
+the chain."""
 
 import unittest
 from unittest.mock import Mock
@@ -235,7 +236,8 @@
     def test_what_follows_later_is_adopted_in_its_turn(self):
         news = ("outcome", (3, 1, "reset", "w1", 600_000, False, 0, None))
         after = 3 + (1 << 32)
-        cases = (  # what comes in the round of the facts, the facts, what comes after; decisions, reqs open in the end
+        # what comes in the round of the facts, the facts, what comes after; decisions, reqs open in the end
+        cases = (
             ("goes on", (), self.STREAM, (news,), [("forward", after)], 1),
             (
                 "news before its facts is part of them",
@@ -308,7 +310,8 @@
         self.assertTrue(chain.talks.talks[3].effects)
 
     def test_a_pause_counts_to_the_release_of_its_state(self):
-        # found by `rehearse planner-killed-long`: a state held 200 ms in a pause got all of the limit anew when it went on
+        # found by `rehearse planner-killed-long`: a state held 200 ms in a pause got all of the limit anew
+        # when it went on
         chain, out = self.adopt(
             paused=True,
             steps=1,
--- a/tests/test_background_and_snapshots.py
+++ b/tests/test_background_and_snapshots.py
@@ -2,9 +2,10 @@
 import tempfile
 import unittest
 
-import lmdb
 import msgspec
-from hypothesis import given, settings as hyp, strategies as st
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
 
 from martenrouter.decisions.background import Background
 from martenrouter.decisions.learnt import export, put, shifted
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,4 +1,5 @@
-"""Budgets: what is promised of caps holds in any order of events; rates, places, periods, order between customers, parts of fronts."""
+"""Budgets: what is promised of caps holds in any order of events; rates, places, periods, order between
+customers, parts of fronts."""
 
 import copy
 import datetime
@@ -29,7 +30,8 @@
 
 
 class Machine(RuleBasedStateMachine):
-    """Any order of arrivals, tokens, ends and repeats over a small tree, against a plain account of what was charged."""
+    """Any order of arrivals, tokens, ends and repeats over a small tree, against a plain account of what was
+    charged."""
 
     CUSTOMER = ("customer", "a")
 
@@ -112,7 +114,8 @@
                 assert taken <= limits.cap, (key, taken)
             elif holder:
                 assert taken - (holder[1] + 3 * holder[2]) <= limits.cap, (key, taken)
-            # the holders that have ended: each was alone, and while the cap stays passed nobody gets anything more
+            # the holders that have ended: each was alone, and while the cap stays passed nobody gets anything
+            # more
             worst = 120 + 3 * 80 * 50
             assert taken <= limits.cap + worst
 
@@ -474,8 +477,8 @@
     @settings(max_examples=60, deadline=None)
     def test_parts_that_follow_stay_within_their_bound(self, uses):
         fronts = [Following(4) for _ in range(4)]
-        for row in uses:
-            for front, use in zip(fronts, row):
+        for used in uses:
+            for front, use in zip(fronts, used):
                 front.look("a", use * 100, 100, 1.0)
             self.assertLessEqual(sum(front.part("a") for front in fronts), Following.SPAN + 1e-9)
             self.assertTrue(all(front.part("a") >= fixed(4) / Following.SPAN - 1e-9 for front in fronts))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,12 +1,14 @@
 import random
 import unittest
 
-from hypothesis import given, settings as hyp, strategies as st
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
 
 from martenrouter.decisions.admission import Admission
 from martenrouter.decisions.chain import Chain
-from martenrouter.decisions.conversations import MASK
 from martenrouter.decisions.connections import Connections
+from martenrouter.decisions.conversations import MASK
 from martenrouter.decisions.lengths import Lengths
 from martenrouter.decisions.membership import Membership
 from martenrouter.decisions.streams import Streams
@@ -252,7 +254,8 @@
 
 
 class Whole(unittest.TestCase):
-    """The chain under any order of events: each req taken gets exactly one final answer, and nothing after it."""
+    """The chain under any order of events: each req taken gets exactly one final answer, and nothing after
+    it."""
 
     ROWS = [
         ("up", 1.0, "z", id, 0, kind, None)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -10,7 +10,8 @@
     "skus=prefill,decode family-info.role-by-kind=read,write family-info.memory-tokens=200000,100000 "
     "family-info.pin-limit-us=300000 policy-limits.attempts-cap=4 tick-us=2000 made-up.key=3 "
     "policy-limits.cancelling=true\n"
-    "directory_update front-0 1 C 2\nrow healthy 1 z engine_a 0 prefill -\nrow healthy 1 z engine_b 0 decode -\n"
+    "directory_update front-0 1 C 2\nrow healthy 1 z engine_a 0 prefill -\nrow healthy 1 z engine_b 0 "
+    "decode -\n"
 )
 ASK = "request front-0 5 chat - 91f03b7c55d20a64 4003000 - - 1800 0 256 0\n"
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,7 +20,8 @@
     "name, seed = sys.argv[1], int(sys.argv[2])\n"
     "day = catalogue.draw(seed, name[6:], seconds=5) if name.startswith('drawn-') else scenario.load(name)\n"
     "world = World(day, seed)\nworld.play()\n"
-    "print(hashlib.sha256(json.dumps([world.records, world.day.tries, world.day.loads]).encode()).hexdigest())"
+    "print(hashlib.sha256(json.dumps([world.records, world.day.tries, "
+    "world.day.loads]).encode()).hexdigest())"
 )
 
 
@@ -31,7 +32,8 @@
     )
     @settings(max_examples=150, deadline=None)
     def test_wheel_and_heap_play_alike(self, events, stops):
-        """By time, then by the order in which they came, also those that others put in at the same microsecond."""
+        """By time, then by the order in which they came, also those that others put in at the same
+        microsecond."""
         played = []
         for queue in (Wheel(), Heap()):
             seen = []
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,5 @@
-"""The ledger on disk: each entry once, whatever is killed when; corrections, closes, exports, repairs, compaction."""
+"""The ledger on disk: each entry once, whatever is killed when; corrections, closes, exports, repairs,
+compaction."""
 
 import json
 import os
@@ -132,12 +133,14 @@
 
     def test_a_full_disk_loses_nothing_that_was_there(self):
         code = (
-            "import resource, sys\nfrom martenrouter.state.ledger import Ledger, Unusable\nfrom martenrouter.decisions import booking\n"
+            "import resource, sys\nfrom martenrouter.state.ledger import Ledger, Unusable\nfrom "
+            "martenrouter.decisions import booking\n"
             "ledger = Ledger(sys.argv[1], 'f')\n"
             "def entry(i):\n    return booking.charge('f-%d' % i, 'p', i, 'a', None, None, 1, 0, 1)\n"
             "ledger.append([entry(i) for i in range(50)])\n"
             "resource.setrlimit(resource.RLIMIT_FSIZE, (65536, 65536))\n"
-            "done = 50\ntry:\n    while True:\n        ledger.append([entry(done + i) for i in range(50)])\n        done += 50\n"
+            "done = 50\ntry:\n    while True:\n        ledger.append([entry(done + i) for i in "
+            "range(50)])\n        done += 50\n"
             "except Unusable as why:\n    print(done, str(why).count('not written'))\n"
         )
         path = os.path.join(self.dir, "ledger")
@@ -149,9 +152,11 @@
 
     def test_killed_at_any_time_what_was_told_done_is_there(self):
         code = (
-            "import sys\nfrom martenrouter.state.ledger import Ledger\nfrom martenrouter.decisions import booking\n"
+            "import sys\nfrom martenrouter.state.ledger import Ledger\nfrom martenrouter.decisions import "
+            "booking\n"
             "ledger, i = Ledger(sys.argv[1], 'f'), int(sys.argv[2])\n"
-            "while True:\n    ledger.append([booking.charge('f-%d' % (i + k), 'p', i, 'a', None, None, 1, 0, 1) for k in range(3)])\n"
+            "while True:\n    ledger.append([booking.charge('f-%d' % (i + k), 'p', i, 'a', None, None, 1, "
+            "0, 1) for k in range(3)])\n"
             "    i += 3\n    print(i, flush=True)\n"
         )
         path, told, rnd = os.path.join(self.dir, "ledger"), 0, random.Random(2)
@@ -194,9 +199,11 @@
                 )
 
     def test_killed_at_random_two_hundred_times(self):
-        """The processes append and export; each may be killed anywhere. Totals from the files alone, in the end."""
+        """The processes append and export; each may be killed anywhere. Totals from the files alone, in the
+        end."""
         code = (
-            "import os, sys\nfrom martenrouter.state.ledger import Ledger\nfrom martenrouter.decisions import booking\n"
+            "import os, sys\nfrom martenrouter.state.ledger import Ledger\nfrom martenrouter.decisions "
+            "import booking\n"
             "import random\npath, out, kill = sys.argv[1:3] + [int(sys.argv[3])]\n"
             "rnd, steps = random.Random(kill), [0]\n"
             "def maybe(real):\n"
@@ -212,7 +219,8 @@
             "ledger = Ledger(path, 'f')\n"
             "ledger._move_cursor = maybe(ledger._move_cursor)\n"
             "base = ledger.last\n"
-            "ledger.append([booking.charge('f-%d' % (base + k), 'p', 1, 'a', None, None, 2, 1, 5) for k in range(9)])\n"
+            "ledger.append([booking.charge('f-%d' % (base + k), 'p', 1, 'a', None, None, 2, 1, 5) for k in "
+            "range(9)])\n"
             "ledger.export(out, 4)\n"
         )
         path = os.path.join(self.dir, "ledger")
@@ -220,7 +228,8 @@
         killed = 0
         # one process forks for each try, so that two hundred kills take seconds
         forker = (
-            "import os, sys\nfrom martenrouter.state import ledger\nfrom martenrouter.decisions import booking\ncode = sys.argv[3]\n"
+            "import os, sys\nfrom martenrouter.state import ledger\nfrom martenrouter.decisions import "
+            "booking\ncode = sys.argv[3]\n"
             "killed = 0\nfor i in range(200):\n    pid = os.fork()\n    if not pid:\n"
             "        sys.argv = ['x', sys.argv[1], sys.argv[2], str(i % 29 + 1)]\n"
             "        exec(code, {'__name__': 'x'})\n        os._exit(0)\n"
@@ -296,7 +305,8 @@
 
 
 class Model(RuleBasedStateMachine):
-    """Appends, exports and compactions in any order, with the store opened anew between any two, against plain lists."""
+    """Appends, exports and compactions in any order, with the store opened anew between any two, against
+    plain lists."""
 
     def __init__(self):
         super().__init__()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,7 +3,8 @@
 import json
 import unittest
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given
+from hypothesis import strategies as st
 
 from martenrouter.decisions.connections import Connections
 from martenrouter.settings import told
@@ -39,11 +40,16 @@
     "layers": ["chat-fleet"],
 }
 PAIRS = (
-    "az=hall-1 clients.marks-retry=true customers= family=twostage zones=hall-1,b skus=p,d family-info.aim-us-per-1000-prompt-tokens=40000.0 "
-    "family-info.holds-allowed=true family-info.local-read=false family-info.memory-tokens=255039,165735 family-info.pin-limit-us=300000 "
-    "family-info.report-x0=share_of_memory_that_is_held family-info.role-by-kind=read,write grades.count=2 grades.0.deadline-us=4000000 "
-    "grades.0.effect=free grades.0.name=chat grades.0.importance=1.0 grades.0.window-us=5000000 grades.1.name=7 grades.1.effect=guarded "
-    "grades.1.group=zone policy-limits.attempts-cap=6 policy-limits.cancelling=true policy-limits.conn-idle-us=30000000 peers-total=2 "
+    "az=hall-1 clients.marks-retry=true customers= family=twostage zones=hall-1,b skus=p,d "
+    "family-info.aim-us-per-1000-prompt-tokens=40000.0 "
+    "family-info.holds-allowed=true family-info.local-read=false family-info.memory-tokens=255039,165735 "
+    "family-info.pin-limit-us=300000 "
+    "family-info.report-x0=share_of_memory_that_is_held family-info.role-by-kind=read,write grades.count=2 "
+    "grades.0.deadline-us=4000000 "
+    "grades.0.effect=free grades.0.name=chat grades.0.importance=1.0 grades.0.window-us=5000000 "
+    "grades.1.name=7 grades.1.effect=guarded "
+    "grades.1.group=zone policy-limits.attempts-cap=6 policy-limits.cancelling=true "
+    "policy-limits.conn-idle-us=30000000 peers-total=2 "
     "tick-us=2000 stats.fields=outstanding,x0 stats.via=answers rules.cold-share=0.33 layers=chat-fleet"
 )
 CONFIG = {
@@ -75,7 +81,8 @@
 
 class ManyMessages(unittest.TestCase):
     def test_what_came_before_a_message_is_not_counted_as_its(self):
-        # found by sending twenty reqs of 100 KB at once: pieces that end in mid-message added up to the bound of one
+        # found by sending twenty reqs of 100 KB at once: pieces that end in mid-message added up to the bound
+        # of one
         one = b"POST / HTTP/1.1\r\ncontent-length: 100000\r\n\r\n" + b"x" * 100_000
         reader, bad = messages.Requests(), []
         for at in range(0, 30 * len(one), 16_384):
@@ -201,7 +208,10 @@
             self.assertEqual(answers.load(text), said)
 
 
-STREAM = b"HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n3;e=1\r\nabc\r\n0\r\n\r\n"
+STREAM = (
+    b"HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"5\r\nhello\r\n3;e=1\r\nabc\r\n0\r\n\r\n"
+)
 REQS = b"POST /a?b=c HTTP/1.1\r\nX-A: 1\r\ncontent-length: 3\r\n\r\nabcGET /ready HTTP/1.1\r\n\r\n"
 
 
@@ -255,7 +265,8 @@
 
 
 EVENTS = (
-    b'data: {"choices":[{"delta":{"content":"x"}}]}\n\ndata: {"choices":[],"usage":{"prompt_tokens_details":{"cached_tokens":40}}}\n\n'
+    b'data: {"choices":[{"delta":{"content":"x"}}]}\n\ndata: {"choices":[],'
+    b'"usage":{"prompt_tokens_details":{"cached_tokens":40}}}\n\n'
     b"data: [DONE]\n\n: X-Server-Load: inflight=3,x0=0.5\n\n"
 )
 
@@ -356,7 +367,8 @@
         self.assertEqual(members.row(members.Member("x", phase="odd"), 0)[0], "draining")
 
     def test_objects_on_one_line_or_indented_and_what_is_cut_off(self):
-        # the standing test's page lets lists come indented: a line is not an object then, and braces in names are none
+        # the standing test's page lets lists come indented: a line is not an object then, and braces in names
+        # are none
         told = json.loads(self.LINE)
         told["members"][0]["id"] = 'a{"}\\'
         text = json.dumps(told, indent=2).encode() + b"\n"
--- a/tests/test_quiet_day.py
+++ b/tests/test_quiet_day.py
@@ -1,4 +1,5 @@
-"""Terms of a quiet day, on tables: the largest reqs get their part, and no session is refused throughout while there is room."""
+"""Terms of a quiet day, on tables: the largest reqs get their part, and no session is refused throughout
+while there is room."""
 
 import heapq
 import unittest
@@ -12,10 +13,11 @@
 
 
 def day(fronts, reqs=400, fleet_gap=60_000, longest=14_000):
-    """[(session, prompt, answered)] of a front among `fronts`, its engines a third full and never late; the fleet gets a req every
+    """[(session, prompt, answered)] of a front among `fronts`, its engines a third full and never late; the
+    fleet gets a req every
     `fleet_gap` microseconds, and this front its even part of them."""
     gap = fleet_gap * fronts
-    rig, due, told, at = Rig(ROWS, fronts=fronts), [], [], {}
+    rig, due, at = Rig(ROWS, fronts=fronts), [], {}
 
     def play(now, *calls):
         seen = Seen()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -88,7 +88,8 @@
                     self.assertEqual([f for f in seen.all("forward") if f[1] == "w2"], [])
 
     def test_a_keyed_repeat_stays_where_the_first_ran_whatever_the_list_says_later(self):
-        """An entry of an engine that left may name no cell any more; one that comes back may stand in another."""
+        """An entry of an engine that left may name no cell any more; one that comes back may stand in
+        another."""
         for scope, now_there in (
             ("cell", row("w1", "wr", cell=0, zone="", phase="gone")),
             ("cell", row("w1", "wr", cell=1, zone="b", born=5)),
@@ -208,15 +209,16 @@
         return carried.rate(rig.now) if carried else 0
 
     def test_a_cold_engine_is_trusted_with_what_was_read_not_with_what_was_tried(self):
-        # found in the laboratory (drawn-small-10 and -23): tries at a lost hall, and prompts that were found kept, had raised the
-        # budget until readers that came back cold were pushed over
+        # found in the laboratory (drawn-small-10 and -23): tries at a lost hall, and prompts that were found
+        # kept, had raised the budget until readers that came back cold were pushed over
         whole = self.carried("read")
         self.assertEqual(self.carried("unreachable"), 0)
         self.assertAlmostEqual(self.carried("read", cost=500) / whole, 0.5, 2)
         self.assertAlmostEqual(self.carried("read", cost=0) / whole, 0.125, 2)
 
     def test_a_forward_that_never_left_does_not_begin_the_release_clock_anew(self):
-        # found in the laboratory (drawn-small-23): a state waited 443 ms at its reader, with a refused connection in between
+        # found in the laboratory (drawn-small-23): a state waited 443 ms at its reader, with a refused
+        # connection in between
         rig = Rig([row("r1", "rd"), row("w1", "wr"), row("w2", "wr")], forwards_cap=6)
         rig.ask(1)
         first = rig.end(1, 0, "read", "r1").all("forward")[0][1]
@@ -242,7 +244,8 @@
             self.assertEqual(rig.end(1, 1, "full", "w1", note=1).all("let_go"), [])
 
     def test_a_state_that_no_forward_took_in_time_is_let_go(self):
-        # found on a fleet day (a zone silent, 250 ms for each connection that never comes up): held for 0.75 s by three of them
+        # found on a fleet day (a zone silent, 250 ms for each connection that never comes up): held for 0.75
+        # s by three of them
         for ending in ("unreachable", "not sent"):
             for took, sent in ((110_000, 2), (250_000, 1)):
                 with self.subTest(ending=ending, took=took):
@@ -263,7 +266,8 @@
                     self.assertLessEqual(held, 500_000)
 
     def test_after_a_connection_that_never_came_up_another_cell_is_tried(self):
-        # found on a fleet day (engines silent): each further one of the cell took 250 ms more to fail; a refusal is no such sign
+        # found on a fleet day (engines silent): each further one of the cell took 250 ms more to fail; a
+        # refusal is no such sign
         for took, then_at in ((250_000, "b"), (300, "a")):
             for reads in (False, True):
                 with self.subTest(took=took, reads=reads):
@@ -299,7 +303,8 @@
 
 
 class ColdUnderAllFronts(unittest.TestCase):
-    """The term: over what the settings allow, N calls in a window, only 2 sqrt(N) + 2 are chance, however many fronts there are."""
+    """The term: over what the settings allow, N calls in a window, only 2 sqrt(N) + 2 are chance, however
+    many fronts there are."""
 
     def test_the_sum_of_all_fronts_stays_within_the_term_and_the_engine_is_used(self):
         cases = [
@@ -323,7 +328,8 @@
         self.assertGreater(used, len(cases) * 2 // 3)
 
     def test_the_fleets_rate_held_the_same_over_any_number_of_fronts(self):
-        """One with most of the traffic, fronts that start in the window, and sends that fail and come again, too."""
+        """One with most of the traffic, fronts that start in the window, and sends that fail and come again,
+        too."""
         kinds = (
             {},
             {"fresh": 1.0},
@@ -398,8 +404,9 @@
                 self.assertEqual(bool(rig.end(1, 0, "read", "r1").all("forward")), sent)
 
     def test_a_thin_front_sends_more_than_its_even_part_while_writers_are_mostly_free(self):
-        # found on the new setup: writers four fifths empty, a front of 200 had room for one req by its part, and each second
-        # one that came while the first was out was pushed back at once (147 of 171); where little is free the part holds
+        # found on the new setup: writers four fifths empty, a front of 200 had room for one req by its part,
+        # and each second one that came while the first was out was pushed back at once (147 of 171); where
+        # little is free the part holds
         for share, sent in ((0.1, 1), (0.85, 0)):
             with self.subTest(share=share):
                 rig = Rig(self.WRITERS, fronts=100)
@@ -415,8 +422,8 @@
                 self.assertEqual(len(rig.ask(3, prompt=9000, session="t").all("forward")), sent)
 
     def test_untold_memory_beside_told_is_no_reason_to_sit_on_a_req(self):
-        # guards the sum of free room against infinity times nothing (one front: nothing goes on unseen): no comparison with it
-        # holds, and a req that is too late for any reader was sat on until its deadline
+        # guards the sum of free room against infinity times nothing (one front: nothing goes on unseen): no
+        # comparison with it holds, and a req that is too late for any reader was sat on until its deadline
         for fronts in (1, 100):
             with self.subTest(fronts=fronts):
                 rig = Rig(
@@ -567,7 +574,8 @@
         )
 
     def test_a_late_link_is_used_where_there_is_no_other(self):
-        # guards against a fleet of one cell that reads all thrice and refuses it, while its one link is only late
+        # guards against a fleet of one cell that reads all thrice and refuses it, while its one link is only
+        # late
         for cells, sent in (((0, 0), True), ((0, 1), False)):
             with self.subTest(cells=cells):
                 rig = Rig(
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -60,10 +60,13 @@
                 )
 
     def test_whole_runs(self):
-        """With files of tests of their own: a part of a test that fails, a module that can't be loaded, an empty folder."""
+        """With files of tests of their own: a part of a test that fails, a module that can't be loaded, an
+        empty folder."""
         part = (
-            "import unittest\nclass A(unittest.TestCase):\n    def test_parts(self):\n        for n in range(3):\n"
-            "            with self.subTest(n=n):\n                self.assertEqual(n, 1)\n    def test_fine(self):\n        pass\n"
+            "import unittest\nclass A(unittest.TestCase):\n    def test_parts(self):\n        for n in "
+            "range(3):\n"
+            "            with self.subTest(n=n):\n                self.assertEqual(n, 1)\n    def "
+            "test_fine(self):\n        pass\n"
         )
         listed = "test_it.A.test_parts | counts to one | issue 7\n"
         for name, text, red, code, last in (
--- a/tests/test_unmet_settings.py
+++ b/tests/test_unmet_settings.py
@@ -1,4 +1,5 @@
-"""The module and the translator under settings that no fleet so far had: tables of cases, one for each assumption removed.
+"""The module and the translator under settings that no fleet so far had: tables of cases, one for each
+assumption removed.
 
 docs/assumptions.md has the list; each case fails with the assumption back in its place.
 """
@@ -84,7 +85,8 @@
         self.assertEqual(answers(rig.play(after=450_000)), [("abort", 1)])
 
     def test_a_silent_keyed_forward_is_left_while_a_repeat_has_no_effect(self):
-        # guards against a keyed req held at a hung engine until its deadline, and against one cancelled that can't go on
+        # guards against a keyed req held at a hung engine until its deadline, and against one cancelled that
+        # can't go on
         for scope, window, cell, cancelled in (
             ("all", 60_000_000, 0, 1),
             ("cell", 60_000_000, 0, 1),
@@ -216,7 +218,8 @@
                 self.assertGreater(waited, joined // 2)
 
     def test_a_state_that_a_running_forward_kept_is_let_go_after_it(self):
-        # guards against a release that comes while a forward, which can't be cancelled, still waits for the state
+        # guards against a release that comes while a forward, which can't be cancelled, still waits for the
+        # state
         for ending, note, lets in (
             ("timed out", 0, 1),
             ("full", 0, 1),
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,7 +1,9 @@
 import json
 import unittest
 
-from hypothesis import given, settings as hyp, strategies as st
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
 
 from martenrouter.standins import answers
 from martenrouter.standins.model import EngineModel, Job, Spec
