Connections that wait to be accepted are taken once others rest, not only once one ends

Seen by reading: the listener resumed only when a connection ended; with all open ones come to rest meanwhile, new ones waited for the idle time, 3 s. Test: 'nobody took it' before. The generator's oracle now also judges overlapping attempts where second copies are not allowed.

--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -189,6 +189,8 @@
         return True
 
     def sweep(self, now):
+        if self.listens:
+            self.server.resume()  # connections may have come to rest, none of which has ended
         for conn in list(self.conns.values()):
             try:
                 self._look_at(conn, now)
--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 import random
 import struct
 import sys
@@ -27,6 +28,7 @@
 )
 DEADLINE_SLACK = 0.15  # seconds by which a server may be told more than is left
 ANSWER_SLACK = 0.5  # seconds after its deadline in which an answer still counts
+COPY_SLACK = 0.03  # seconds in which the close of an attempt's connection may pass the next one's request
 HELD_SLACK = 0.3  # seconds for which a state may be held beyond the settings' limit
 LARGE = 60_000  # bytes of a large body
 
@@ -46,6 +48,7 @@
     ended: float = 0
     ran: bool = True
     read: bool = False
+    hung_until: float = 0
 
 
 @dataclasses.dataclass
@@ -159,8 +162,12 @@
         raise OSError("reset")
 
     def _hang(self, sock, known, attempt):
-        while sock.recv(4096):
-            pass
+        attempt.hung_until = 1e12
+        try:
+            while sock.recv(4096):
+                pass
+        finally:
+            attempt.hung_until = time.monotonic()
         raise OSError("hung")
 
     def _break(self, sock, known, attempt):
@@ -427,6 +434,7 @@
             self._judge_attempts(known)
             self._judge_effects(known)
             self._judge_held(known, pin_limit)
+            self._judge_copies(known)
 
     def _judge_answer(self, known):
         if known.left or not known.sent:
@@ -490,6 +498,16 @@
                     % (known.id, group, first)
                 )
 
+    def _judge_copies(self, known):
+        if self.settings["policy-limits"]["second-copies"]:
+            return
+        for first, later in itertools.combinations(known.attempts, 2):
+            if later.begun < first.hung_until - COPY_SLACK - self.held:
+                self.broken(
+                    "%s was begun at %s while its connection to %s was open"
+                    % (known.id, later.server, first.server)
+                )
+
     def _judge_held(self, known, pin_limit):
         for attempt in known.attempts:
             if attempt.read:
--- a/tests/sockets/test_fault_injection.py
+++ b/tests/sockets/test_fault_injection.py
@@ -16,6 +16,8 @@
 from gevent import socket
 
 from martenrouter.edge.log import LossyStream, logger
+from martenrouter.node import door as door_module
+from martenrouter.node.door import NEWCOMERS
 from martenrouter.wire import http
 from tests.sockets import rig
 from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Engine, request
@@ -207,6 +209,26 @@
         clients = [rig.client().ask("%016x" % (100 + n), x_timeout_ms="60000") for n in range(60)]
         self.assertEqual([client.answer()[0] for client in clients], [503] * 60)
 
+    def test_connections_that_wait_are_taken_once_others_rest(self):
+        """No connection ends meanwhile: those that rest make room."""
+        go = gevent.event.Event()
+        rig = self.pair(
+            sockets=64, read=lambda engine, sock, call, nth: go.wait(5) and engine.answer(sock, call)
+        )
+        held = rig.node.door.most + NEWCOMERS
+        rig.node.door.most_reqs = rig.node.door.most = held
+        with mock.patch.object(door_module, "NEWCOMERS", 0):
+            clients = [
+                rig.client().ask("%016x" % n, x_route_key="k%d" % n, x_timeout_ms="60000")
+                for n in range(held)
+            ]
+            rig.until(lambda: len(rig.node.door.conns) == held)
+            late = rig.client().ask("f" * 16, x_timeout_ms="60000")
+            gevent.sleep(0.05)
+            go.set()
+            with gevent.Timeout(1.5, AssertionError("nobody took it")):
+                self.assertIn(late.answer()[0], (200, 503))
+
     def test_half_a_request_is_answered_when_its_connection_makes_room(self):
         rig = self.pair(sockets=64)
         most = rig.node.door.most
