--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -119,9 +119,9 @@
         )
         known.attempts.append(attempt)
         try:
-            getattr(self, "_" + self.drawn.choices(list(FAULTS), list(FAULTS.values()))[0])(
-                sock, known, attempt
-            )
+            faults = self.scenario.faults
+            fault = self.drawn.choices(list(faults), list(faults.values()))[0]
+            getattr(self, "_" + fault)(sock, known, attempt)
         finally:
             attempt.ended = time.monotonic()
 
@@ -224,7 +224,10 @@
 
 
 class Scenario:
-    def __init__(self, seed):
+    """`behaviours`, `faults`: how often each is drawn."""
+
+    def __init__(self, seed, behaviours=BEHAVIOURS, faults=FAULTS):
+        self.behaviours, self.faults = behaviours, faults
         self.seed, self.wrong, self.requests, self.held = seed, [], {}, 0.0
         self.settings = self.drawn_settings(self.stream("settings"))
 
@@ -322,7 +325,7 @@
 
     def play_client(self, draw, numbers):
         gevent.sleep(draw.uniform(0, SPREAD))
-        how = draw.choices(list(BEHAVIOURS), list(BEHAVIOURS.values()))[0]
+        how = draw.choices(list(self.behaviours), list(self.behaviours.values()))[0]
         count = len(numbers) if how == "several" else 1
         batch = [self.new_request(draw, n) for n in numbers[:count]]
         for known in batch[1:]:
--- a/tests/sockets/test_fault_scenarios.py
+++ b/tests/sockets/test_fault_scenarios.py
@@ -30,9 +30,10 @@
 class Mutations(unittest.TestCase):
     """Each rule broken on purpose is seen within a few seeds."""
 
-    def caught(self, words, first=200):
-        for seed in range(first, first + MOST_TRIED):
-            if any(words in what for what in Scenario(seed).play()):
+    def caught(self, words, **mix):
+        """`mix`: faults and behaviours under which nearly each seed shows it."""
+        for seed in range(200, 200 + MOST_TRIED):
+            if any(words in what for what in Scenario(seed, **mix).play()):
                 return
         self.fail("no seed showed %r" % words)
 
@@ -58,7 +59,9 @@
             mock.patch.object(Hands, "may_still_send", **still),
             mock.patch("martenrouter.edge.line.Line.ended", lambda line: False),
         ):
-            self.caught("after its end", 213)
+            self.caught(
+                "after its end", behaviours={"leaves": 1}, faults={"slowly": 3, "hang": 1, "reset": 2}
+            )
 
     def test_a_deadline_that_is_told_too_late(self):
         arrived = Hands.arrived
@@ -72,7 +75,7 @@
             mock.patch.object(Front, "may_send", lambda *_: True),
             mock.patch.object(Front, "repeatable", lambda *_: True),
         ):
-            self.caught("was begun again", 201)
+            self.caught("was begun again", behaviours={"plain": 1}, faults={"answer": 1, "reset": 3})
 
     def test_trouble_at_a_server_that_frees_a_request(self):
         finish = Hands._finish
