--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -49,6 +49,7 @@
     ran: bool = True
     read: bool = False
     hung_until: float = 0
+    finished: bool = False
 
 
 @dataclasses.dataclass
@@ -70,9 +71,9 @@
     releases: list = dataclasses.field(default_factory=list)
 
 
-def events_of(id, server, nth, count):
+def events_of(id, server, nth, count, size=0):
     """The events of one server's stream for one request: no other stream holds the same bytes."""
-    texts = ["%s %s %d %d" % (id, server, nth, n) for n in range(count)]
+    texts = ["%s %s %d %d%s" % (id, server, nth, n, "x" * size) for n in range(count)]
     finish = ["null"] * (count - 1) + ['"stop"']
     events = [
         b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":%s}]}\n\n'
@@ -89,6 +90,21 @@
     """A client left, as drawn."""
 
 
+class SlowSocket:
+    """A client's socket that takes a little at a time."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    def recv(self, most):
+        gevent.sleep(0.002)
+        return self.sock.recv(min(most, 3000))
+
+    def close(self):
+        self.sock.close()
+
+
 class Server(Engine):
     """A server that draws what goes wrong with each call."""
 
@@ -125,13 +141,17 @@
         finally:
             attempt.ended = time.monotonic()
 
-    def _answer(self, sock, known, attempt, pause=0.0, upto=None, end=True):
+    def _long(self, sock, known, attempt):
+        self._answer(sock, known, attempt, pause=self.drawn.choice((0, 0.001, 0.003)), size=3000, count=30)
+
+    def _answer(self, sock, known, attempt, pause=0.0, upto=None, end=True, size=0, count=None):
         if self.kind == "prefill":
             attempt.read = True
             attempt.sent = http.response(202, (), b'{"cached_tokens":0}')
             attempt.ran = False
             return sock.sendall(attempt.sent)
-        events = events_of(known.id, self.id, len(known.attempts), self.drawn.randint(1, 5))
+        count = count or self.drawn.randint(1, 5)
+        events = events_of(known.id, self.id, len(known.attempts), count, size)
         attempt.sent = b"".join(events)
         sock.sendall(HEAD)
         for event in events[:upto]:
@@ -139,6 +159,7 @@
             gevent.sleep(pause)
         if end:
             sock.sendall(http.chunk(b""))
+            attempt.finished = upto is None
 
     def _slowly(self, sock, known, attempt):
         gevent.sleep(self.drawn.uniform(0, 0.3))
@@ -210,6 +231,7 @@
     "twice": 5,
     "interim": 3,
     "huge": 2,
+    "long": 8,
 }
 BEHAVIOURS = {
     "plain": 30,
@@ -218,6 +240,7 @@
     "leaves": 14,
     "leaves_in_mid_body": 6,
     "several": 12,
+    "in_turn": 14,
     "last": 6,
     "large": 6,
 }
@@ -326,11 +349,23 @@
     def play_client(self, draw, numbers):
         gevent.sleep(draw.uniform(0, SPREAD))
         how = draw.choices(list(self.behaviours), list(self.behaviours.values()))[0]
+        try:
+            client = self.rig.client()
+        except OSError:
+            return  # a stop: nothing was sent
+        if how != "in_turn":
+            return self._play_batch(draw, client, how, numbers)
+        for n in numbers:
+            if not self._play_batch(draw, client, how, [n], last=n == numbers[-1]):
+                return
+            gevent.sleep(draw.choice((0, 0, 0.002, 0.05)))
+
+    def _play_batch(self, draw, client, how, numbers, last=True):
+        """Whether all were answered whole. A request behind others, or that follows them, may cross a close."""
         count = len(numbers) if how == "several" else 1
         batch = [self.new_request(draw, n) for n in numbers[:count]]
-        for known in batch[1:]:
-            known.behind = True
-        client = self.rig.client()
+        for known in batch:
+            known.behind = known is not batch[0] or client.last
         body = (
             b'{"messages":[{"role":"user","content":"%s"}]}' % (b"x" * LARGE)
             if how in ("large", "leaves_in_mid_body")
@@ -342,17 +377,25 @@
             self._send(draw, client, data, how, batch)
             for known in batch:
                 if how == "slow_reader":
-                    gevent.sleep(0.4)
-                known.status, _, known.body = client.answer()
-                known.whole, known.answered = client.last and known.status is not None, time.monotonic()
-                if not known.whole:
-                    return
+                    gevent.sleep(0.2)
+                    client.sock = SlowSocket(client.sock)
+                known.status, headers, known.body = client.answer()
+                known.whole = client.last and known.status is not None
+                known.answered = time.monotonic()
+                if not known.whole or headers.get("connection") == "close":
+                    last = True
+                    return False
+            return True
         except Left:
             pass
+        except ConnectionError:
+            pass  # closed or reset while it was being sent: what came of it is judged
         except OSError as why:
             self.broken("%s: its connection hung or failed: %s" % ([known.id for known in batch], why))
         finally:
-            client.close()
+            if last:
+                client.close()
+        return False
 
     def _send(self, draw, client, data, how, batch):
         now = time.monotonic()
@@ -383,6 +426,8 @@
         servers = self.fleet(draw)
         self.rig = Rig(*servers, sockets=draw.choice((64, 256)), **self.settings)
         watch = gevent.spawn(self._watch_loop)
+        # little is held by the system, so that what is sent to slow readers waits in the node
+        self.rig.node.door.server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
         try:
             jobs = [
                 gevent.spawn(
@@ -393,6 +438,12 @@
                 for n in range(CLIENTS)
             ]
             jobs.append(gevent.spawn(self._drain, self.stream("drain"), servers))
+            stop = (
+                gevent.spawn_later(draw.uniform(0.2, SPREAD), self.rig.node.stop)
+                if draw.random() < 0.3
+                else None
+            )
+            self.stops = stop is not None
             gevent.joinall(jobs, timeout=30)
             limit = self.settings["family-info"]["pin-limit-us"] / 1e6
             gevent.sleep(limit + HELD_SLACK + 0.1)
@@ -452,6 +503,15 @@
             streams = [attempt.sent for attempt in known.attempts if attempt.kind != "prefill"]
             if known.whole and known.body not in streams:
                 self.broken("%s got what is no server's stream for it: %r" % (known.id, known.body[:200]))
+            finished = [attempt.sent for attempt in known.attempts if attempt.finished]
+            if (
+                not known.whole
+                and not self.stops
+                and any(stream.startswith(known.body) for stream in finished)
+            ):
+                self.broken(
+                    "%s got %d bytes of a stream that its server had finished" % (known.id, len(known.body))
+                )
             if not known.whole and not any(stream.startswith(known.body) for stream in streams):
                 self.broken(
                     "%s got the beginning of no server's stream for it: %r" % (known.id, known.body[:200])
