--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -361,7 +361,7 @@
             gevent.sleep(draw.choice((0, 0, 0.002, 0.05)))
 
     def _play_batch(self, draw, client, how, numbers, last=True):
-        """Whether all were answered whole. A request behind others, or that follows them, may cross a close."""
+        """Whether all were answered whole. One behind others, or that follows them, may cross a close."""
         count = len(numbers) if how == "several" else 1
         batch = [self.new_request(draw, n) for n in numbers[:count]]
         for known in batch:
--- a/tests/sockets/test_fault_scenarios.py
+++ b/tests/sockets/test_fault_scenarios.py
@@ -9,7 +9,7 @@
 from martenrouter.rules import Front
 from tests.sockets.fault_scenarios import Scenario
 
-SEEDS = (
+SEEDS = (7, 10, 24, 110, 117, 128)  # on 24 an earlier text mixed up answers and lost a request
     7,
     10,
     17,
