--- a/tests/sockets/test_slow_start.py
+++ b/tests/sockets/test_slow_start.py
@@ -42,7 +42,7 @@
         gevent.joinall(jobs)
 
     def sent_to_the_cold_one(self):
-        """(calls that the cold server got within a window at most, calls that the settings allow it there)."""
+        """(most calls that the cold server got within a window, calls that the settings allow it there)."""
         rigs = self.fleet()
         begun = time.monotonic()
         self.play(rigs, BEFORE, 0, 0.01)
