--- a/martenrouter/edge/send_buffer.py
+++ b/martenrouter/edge/send_buffer.py
@@ -7,6 +7,10 @@
 PART = 64 * 1024  # bytes handed to the system at a time: more are not copied for it to take a few
 
 
+def _ignore(*_):
+    """Takes the place of callbacks to a connection that is over."""
+
+
 class SendBuffer:
     """Sends at once what the system takes; the rest is sent by a greenlet that exists only while there is
     some.
@@ -63,7 +67,8 @@
             self._drained()
 
     def stop(self):
-        """Nothing more is sent."""
+        """Nothing more is sent, and nobody is told any more."""
         self._rest.clear()
+        self._failed = self._drained = _ignore
         if self._sender is not None:
             self._sender.kill(block=False)
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -157,6 +157,8 @@
                 self._close_gracefully()
 
     def _on(self, kind, told=None):
+        if kind == "end":
+            self.reader.close()
         if kind == "bad":
             if self.state is State.READING:
                 self.refuse(400, "not HTTP/1.1: " + told)
@@ -285,6 +287,14 @@
         if self.state is not State.CLOSED:
             self.buffer.put(data)
 
+    def free(self):
+        """It is over: parts that hold each other let go, as the collector of cycles seldom looks."""
+        self.state = State.CLOSED
+        self.buffer.stop()
+        if self.reader is not None:
+            self.reader.close()
+        self.line.close()
+
     def _send_failed(self, why):
         self.server.counters["connection_closed_unread"] += len(self.buffer) > UNSENT_LIMIT
         self.close()
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -145,12 +145,11 @@
             return  # the client left, or the fault lasts: the answer has been given
 
     def _over(self, conn):
-        request, conn.state = conn.request, State.CLOSED
+        request, conn.request = conn.request, None
         self.forget(conn)
         if request is not None:
             self.hands.client_left(request)
-        conn.buffer.stop()
-        conn.line.close()
+        conn.free()
         if self.listens:
             self.server.resume()
 
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -343,6 +343,8 @@
         for r in leaving:
             if self.reqs.get(r.id) is r:
                 del self.reqs[r.id]
+            # they hold each other, and the request's body: freed by count, as the collector seldom looks
+            r.streams = None
 
     def _others(self):
         """Engines that run as far as is known, those first that have a connection to spare."""
--- a/tests/sockets/test_fault_injection.py
+++ b/tests/sockets/test_fault_injection.py
@@ -5,6 +5,7 @@
 docs/incidents/2026-12-02-fault-injection.md says how.
 """
 
+import gc
 import os
 import socket as plain_socket
 import struct
@@ -16,9 +17,14 @@
 from gevent import socket
 
 from martenrouter.edge.log import LossyStream, logger
+from martenrouter.edge.send_buffer import SendBuffer
 from martenrouter.node import door as door_module
+from martenrouter.node.client_connection import ClientConnection
 from martenrouter.node.door import NEWCOMERS
+from martenrouter.node.engines import Forward
+from martenrouter.node.hands import Req
 from martenrouter.wire import http
+from martenrouter.wire.platform.messages import Answers, Requests
 from tests.sockets import rig
 from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Engine, request
 from tests.sockets.test_crossings import plain, whole
@@ -261,6 +267,34 @@
         self.assertEqual(client.ask("2" * 16).answer()[0], 200)
 
 
+class Memory(Case):
+    """The collector of cycles seldom looks (cli/life.py): what requests leave is freed by count."""
+
+    KINDS = (ClientConnection, SendBuffer, Requests, Answers, Req, Forward)
+
+    def alive(self):
+        return sum(type(thing) in self.KINDS for thing in gc.get_objects())
+
+    def test_what_requests_and_connections_leave_is_freed_by_count(self):
+        rig = self.pair()
+        rig.ask("f" * 16)  # what is made once is there
+        gevent.sleep(0.3)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        before = self.alive()
+        for n in range(20):
+            client = rig.client()
+            for k in range(3):
+                self.assertEqual(client.ask("%016x" % (10 * n + k)).answer()[0], 200)
+            client.close()
+            rig.clients.clear()
+        self.settled(rig)
+        rig.until(lambda: not rig.node.door.conns)
+        gevent.sleep(0.3)
+        self.assertLessEqual(self.alive(), before)
+
+
 class LogFailures(Case):
     def test_a_log_that_fails_costs_no_answer(self):
         rig, broken = self.pair(), mock.Mock()
