--- a/tests/sockets/node_rig.py
+++ b/tests/sockets/node_rig.py
@@ -257,6 +257,7 @@
         for greenlet in node.greenlets():
             greenlet.kill(block=False)
         node.door.server.stop()
+        node.door.turns.stop()  # else each rig of a process would cost every later turn of the loop
         for conn in list(node.door.conns.values()):
             conn.close()
         self.agent.server.stop()
