--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -449,8 +449,8 @@
 
     @once_a_round
     def pool(self, reads):
-        up, roles = [e for e in self.engines.values() if e.up], ("read" if reads else "write", "both")
-        also = ("write",) if reads and self.settings.get("writers_read") else ()  # alone
+        up, roles = [e for e in self.engines.values() if e.up], ("read",) if reads else ("write", "both")
+        also = ("both", "write" if self.settings.get("writers_read") else "") if reads else ()  # alone
         return [e for e in up if e.role in roles] or [e for e in up if e.role in also]
 
     @once_a_round
