--- a/tests/sockets/test_system_calls.py
+++ b/tests/sockets/test_system_calls.py
@@ -1,4 +1,4 @@
-"""System calls of a front node that fail for a moment, as Linux documents them: nothing that was taken is lost."""
+"""System calls of a front node that fail for a moment, as Linux documents them: what was taken is not lost."""
 
 import errno
 import os
