Clock steps, long lists from slow agents, failed accepts in a stop

Causes: life.py took wall - monotonic once and believed it; watch.py gave a call 0.8 to 2.5 s for a whole line however well it came on; stop_listening ended at the first OSError of accept. Change: node/server_starts.py reads a start from the wall clock only within the order of events (not after it was told; not before its entry was last heard otherwise). A line that moves on by 2 KB in each second is waited for, 20 s and twice that after a slow one; one that drips is given up after 1 s and more, as before. The accept queue is emptied past connections that failed and tried again while resources are short; each failed accept is logged and counted. Left: a process that starts with its clock ahead can't know which servers of its first list are cold.

--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -4,6 +4,9 @@
 the platform's 3 s.
 """
 
+import errno
+
+import gevent
 from gevent.server import StreamServer
 
 from martenrouter.edge import clock
@@ -32,26 +35,64 @@
 )
 
 
+# accept(2): errors of the connection that was to be taken, not of the listening socket: the next one is taken
+CONNECTION_FAILED = {
+    errno.ECONNABORTED,
+    errno.ECONNRESET,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.EINTR,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.ENONET,
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.EPERM,
+    errno.EPROTO,
+    errno.ETIMEDOUT,
+}
+# nothing to hold a connection with just now: those that wait are taken when there is
+SHORT_OF_RESOURCES = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+FAILED_AT_ONCE = 1024  # connections that fail in one turn, the length of the queue: others get theirs then
+SHORT_WAIT = 0.01  # seconds between tries to take what waits when no more will be taken later
+
+
 class Listener(StreamServer):
     """Takes connections one after the other, and says of each since when it can have waited at the latest.
 
     `full()`: whether no more can be held; they wait in the system until `resume` is called. `turns`:
-    arrivals.LoopTurns.
+    arrivals.LoopTurns. `failed(OSError)` is told of each call that failed.
     """
 
-    def __init__(self, listen, accepted, full, turns):
+    def __init__(self, listen, accepted, full, turns, failed):
         super().__init__(listen, accepted, backlog=1024)
         self.max_accept = AT_ONCE
-        self.full, self._turns, self._waiting_since = full, turns, None
+        self.full, self._turns, self._failed, self._waiting_since = full, turns, failed, None
+        self.short = False  # whether some may wait that can't be taken just now
 
     def do_read(self):
+        """(socket, since when it can have waited), None where none can be taken now. Raises OSError where the
+        listening socket itself has failed."""
         if self._waiting_since is None:
             self._waiting_since = self._turns.earliest()
-        taken = super().do_read()
-        if not taken:
+        self.short = False
+        for _ in range(FAILED_AT_ONCE):
+            try:
+                taken = super().do_read()
+            except OSError as why:
+                self._failed(why)
+                if why.errno in CONNECTION_FAILED:
+                    continue
+                if why.errno not in SHORT_OF_RESOURCES:
+                    raise
+                self.short = True
+                self.stop_accepting()  # else the loop would come back at once; `resume` goes on
+                return None
+            if taken:
+                return taken[0], self._waiting_since
             self._waiting_since = None  # none is left
             return None
-        return taken[0], self._waiting_since
+        return None
 
     def do_close(self, sock, *_):
         sock.close()
@@ -73,7 +114,7 @@
         self.conns, self.begun, self.listens = {}, False, False
         self.stopping = self.leaving = False  # not ready any more; connections end with their answers
         self.turns = LoopTurns()
-        self.server = Listener(listen, self._accepted, self._full, self.turns)
+        self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed)
 
     def start(self):
         """Raises OSError when the address can't be had."""
@@ -86,12 +127,29 @@
         clients have sent."""
         if self.listens:
             self.listens = False
+            gevent.spawn(self._take_all_and_close)
+
+    def _take_all_and_close(self):
+        while True:
             try:
-                while taken := self.server.do_read():
-                    self.server.do_handle(*taken)
+                taken = self.server.do_read()
             except OSError:
-                pass  # no descriptors: what is left is reset, and its clients come again elsewhere
-            self.server.close()
+                break  # nothing more can come from it
+            if taken:
+                self.server.do_handle(*taken)
+            elif self.server.short:
+                gevent.sleep(SHORT_WAIT)
+            else:
+                break
+        self.server.close()
+
+    def _accept_failed(self, why):
+        self.counters["accept_failed"] += 1
+        self.log.warning(
+            "accept_failed", error=errno.errorcode.get(why.errno, str(why)), open=len(self.conns)
+        )
+        if why.errno in SHORT_OF_RESOURCES:
+            self._make_room(clock.now())
 
     def ready(self):
         return self.begun and not self.stopping
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -16,6 +16,7 @@
 from martenrouter.node.engines import Engines
 from martenrouter.node.hands import LOOKS, Hands
 from martenrouter.node.leaving import TimeLine
+from martenrouter.node.server_starts import ServerStarts
 from martenrouter.node.watch import Watch
 from martenrouter.rules import Front
 from martenrouter.settings import told
@@ -46,9 +47,7 @@
         plain = told.from_nested(settings.settings)
         super().__init__(plain, collections.Counter(), log)
         self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
-        self.offset = (
-            clock.wall() - clock.now()
-        )  # one figure for the life of the process: an engine's start stays the same
+        self.starts = ServerStarts(clock.now(), clock.wall())
         self.desk = Desk(Front(zlib.crc32(settings.seed.encode()), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
@@ -74,7 +73,12 @@
             log,
         )
         self.watch = Watch(
-            codec.address(settings.discovery, "$.discovery"), known.revision, self.listed, self.counters, log
+            codec.address(settings.discovery, "$.discovery"),
+            known.revision,
+            self.listed,
+            self.counters,
+            log,
+            lambda: self.starts.heard(clock.now()),
         )
         self.done = Event()
         self.listed(known, "first")
@@ -89,7 +93,8 @@
         """What was written to this node counts as told, whatever its revision says: phases hold from here
         on."""
         scope = scope or ("whole" if message.complete else "changes")
-        rows = [members.row(member, self.offset) for member in message.members]
+        starts = self.starts.take({m.id: m.up_since_ms for m in message.members}, clock.now())
+        rows = [members.row(member, starts[member.id]) for member in message.members]
         moved = {}
         if scope != "changes":
             named = {member.id for member in message.members}
--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -1,8 +1,9 @@
-"""The watch of the platform's list of engines: a connection to the agent that stays open, made anew when it
+"""The watch of the platform's list of servers: a connection to the agent that stays open, made anew when it
 is silent."""
 
 import gevent
 
+from martenrouter.edge import clock
 from martenrouter.edge.line import Line
 from martenrouter.wire import http
 from martenrouter.wire.platform import members, messages
@@ -15,19 +16,46 @@
 # line, is answered. After an outage: a call that hangs across its end and one wait.
 AT_FIRST = 0.8
 FIRST, LONGEST = 0.1, 0.3  # between tries
+# A line that is on its way for longer than the silence limit is waited for as long as it moves on: a list of
+# thousands of servers from a slow agent does, and bytes that only drip in do not
+MOVES_ON = 2048  # bytes in each second
+LINE_WITHIN = 20  # seconds for one line; twice that after each one that was slower
+
+
+class Slow(Exception):
+    """A line does not move on as a line does that comes to its end."""
+
+
+class LineProgress:
+    """Whether the line that is on its way moves on. All times are microseconds."""
+
+    def __init__(self, silent, within):
+        """`silent`: how long a line may take whatever its pace; `within`: how long at the most."""
+        self._silent, self._within = silent, within
+        self._begun = None  # when its first bytes came
+        self._second, self._bytes = None, 0  # when the second that is looked at began, and its bytes
+
+    def came(self, now, count):
+        """`count` bytes of it came. Raises Slow."""
+        if self._begun is None:
+            self._begun = self._second = now
+        self._bytes += count
+        if now - self._begun > self._within:
+            raise Slow("a line took over %d s" % (self._within // 1_000_000))
+        if now - self._second >= 1_000_000:
+            if now - self._begun > self._silent and self._bytes < MOVES_ON:
+                raise Slow("a line drips in, %d bytes in its last second" % self._bytes)
+            self._second, self._bytes = now, 0
 
 
 class Watch:
-    def __init__(self, address, revision, told, counters, log):
-        """`address`: (host, port); `told(members.Told)` takes what comes, in order."""
-        self.address, self.revision, self.told, self.counters, self.log = (
-            address,
-            revision,
-            told,
-            counters,
-            log,
-        )
+    def __init__(self, address, revision, told, counters, log, heard=lambda: None):
+        """`address`: (host, port); `told(members.Told)` takes what comes, in order; `heard()` is called after
+        each line, also an empty one."""
+        self.address, self.revision, self.told, self.heard = address, revision, told, heard
+        self.counters, self.log = counters, log
         self.greenlet, self.lines = None, 0  # lines: how many whole ones have come
+        self.line_within = LINE_WITHIN
 
     def start(self):
         self.greenlet = gevent.spawn(self._run)
@@ -58,7 +86,9 @@
             patience = min(2 * patience, SILENT) if hung and self.lines == begun else patience
 
     def _follow(self, patience):
+        """`patience`: seconds to the first bytes, and between bytes up to the end of the first line."""
         line, reader, lines = None, messages.Lasting(), members.Lines()
+        progress = LineProgress(patience * 1e6, self.line_within * 1e6)
         silence = gevent.Timeout.start_new(patience)
         try:
             line = Line(self.address, SILENT)
@@ -68,25 +98,34 @@
                 if not data:
                     raise OSError("closed by the agent")
                 for event in reader.feed(data):
-                    if event[0] == "head" and event[1].status != 200:
+                    if event[0] == "body":
+                        self._take(lines.feed(event[1]))
+                    elif event[0] == "head" and event[1].status != 200:
                         raise http.BadBytes("status %d" % event[1].status)
-                    if event[0] == "bad":
+                    elif event[0] == "bad":
                         raise http.BadBytes(event[1])
-                    if event[0] == "body":
-                        for told in lines.feed(event[1]):
-                            message = members.told(told)
-                            self.told(message)
-                            self.revision = (
-                                message.revision
-                            )  # not before: what failed to be taken in is asked for again
-                        if lines.count:
-                            # whole lines alone show that the watch lives, not bytes of one that never ends
-                            self.lines, lines.count = self.lines + lines.count, 0
-                            silence.close()
-                            silence = gevent.Timeout.start_new(SILENT)
-                    if event[0] == "end":
+                    elif event[0] == "end":
                         raise OSError("ended by the agent")
+                if lines.count:
+                    # whole lines alone show that the watch lives, not bytes of one that never ends
+                    self.lines, lines.count = self.lines + lines.count, 0
+                    self.line_within, patience = LINE_WITHIN, SILENT
+                    progress = LineProgress(patience * 1e6, self.line_within * 1e6)
+                    self.heard()
+                else:
+                    progress.came(clock.now(), len(data))
+                silence.close()
+                silence = gevent.Timeout.start_new(patience)
+        except Slow:
+            self.line_within *= 2
+            raise
         finally:
             silence.close()
             if line is not None:
                 line.close()
+
+    def _take(self, whole):
+        for told in whole:
+            message = members.told(told)
+            self.told(message)
+            self.revision = message.revision  # not before: what failed to be taken in is asked for again
--- a/martenrouter/wire/platform/members.py
+++ b/martenrouter/wire/platform/members.py
@@ -54,10 +54,9 @@
     return message
 
 
-def row(member, offset):
-    """A member as the module's entry; `offset`: microseconds from its clock's zero to the Unix epoch's, taken
-    off."""
-    born = max(member.up_since_ms * 1000 - offset, 1) if member.up_since_ms else None
+def row(member, start):
+    """A member as the policy's entry; `start`: when it started, in microseconds of the process's clock, None
+    for long ago."""
     return (
         PHASES.get(member.phase, "draining"),
         member.size,
@@ -65,7 +64,7 @@
         member.id,
         member.cell,
         member.flavor,
-        born,
+        start,
     )
 
 
@@ -84,11 +83,17 @@
     empty ones too; who reads it sets it back."""
 
     def __init__(self):
-        self._rest, self._object, self._size, self._depth, self.count = b"", [], 0, 0, 0
+        self._rest, self._rest_size = [], 0  # pieces of the line that has no end yet, and their bytes
+        self._object, self._size, self._depth, self.count = [], 0, 0, 0
 
     def feed(self, data):
         """Raises BadLine when an object has no end within LINE_LIMIT."""
-        *lines, self._rest = (self._rest + data).split(b"\n")
+        self._rest.append(data)
+        self._rest_size += len(data)
+        lines = []
+        if b"\n" in data:
+            *lines, rest = b"".join(self._rest).split(b"\n")
+            self._rest, self._rest_size = [rest], len(rest)
         self.count += len(lines)
         whole = []
         for line in lines:
@@ -106,7 +111,7 @@
                 self._object, self._size, self._depth = [], 0, 0
             elif len(self._object) == 1:
                 _begins_an_object(line)
-        if self._size + len(self._rest) > LINE_LIMIT:
+        if self._size + self._rest_size > LINE_LIMIT:
             raise BadLine("an object over %d bytes" % LINE_LIMIT)
         return whole
 
