Failing tests: transient errors on open connections, and connects that this machine fails

Seen before any change, on scripted peers: with each third send failing with ENOBUFS or ENOMEM, or each third recv with EAGAIN, ENOMEM or ENOBUFS, ten of ten requests got no answer; a connect that fails with EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN or ENOMEM ends its attempt at once, and three of those suspect a healthy server (failed 6 of it).

--- a/tests/sockets/test_system_calls.py
+++ b/tests/sockets/test_system_calls.py
@@ -1,10 +1,15 @@
 """System calls of a front node that fail for a moment, as Linux documents them: nothing taken is lost."""
 
+import contextlib
 import errno
 import os
+import socket
+import time
 import unittest
+from unittest import mock
 
 import gevent
+from gevent import socket as gevent_socket
 
 from tests.sockets.node_rig import Engine, Rig
 
@@ -62,3 +67,105 @@
         clients = self.waiting_clients(rig, 40)
         gevent.spawn(rig.node.door.stop_listening)
         self.assertEqual([client.answer()[0] for client in clients], [200] * 40)
+
+    def test_accepting_goes_on_at_once_after_calls_that_fail(self):
+        rig = self.pair()
+        errors = (
+            errno.ECONNABORTED,
+            errno.EMFILE,
+            errno.ENOBUFS,
+            errno.EPROTO,
+            errno.ENOMEM,
+            errno.EINTR,
+        ) * 2
+        server = self.hold_accepts(rig, errors)
+        clients = self.waiting_clients(rig, 3)
+        begun = time.monotonic()
+        server.start_accepting()
+        self.assertEqual([client.answer()[0] for client in clients], [200] * 3)
+        self.assertLess(time.monotonic() - begun, 0.5)
+
+
+class OpenConnections(Case):
+    """The node's open connections are plain sockets, the others of the process gevent's."""
+
+    @staticmethod
+    def failing_each(call, nth, number):
+        count = [0]
+
+        def wrapped(*arguments):
+            count[0] += 1
+            if count[0] % nth == 0:
+                raise OSError(number, os.strerror(number))
+            return call(*arguments)
+
+        return wrapped
+
+    def test_calls_that_fail_for_a_moment_cost_no_answer_and_no_attempt(self):
+        for name, numbers in (
+            ("send", (errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EINTR)),
+            ("recv", (errno.ENOMEM, errno.ENOBUFS, errno.EAGAIN, errno.EINTR)),
+        ):
+            for number in numbers:
+                with self.subTest(call=name, error=errno.errorcode[number]):
+                    rig = self.pair()
+                    body = rig.ask("f" * 16)[2]
+                    with mock.patch.object(
+                        socket.socket, name, self.failing_each(getattr(socket.socket, name), 3, number)
+                    ):
+                        answers = [rig.ask("%016x" % n) for n in range(10)]
+                    self.assertEqual([answer[0] for answer in answers], [200] * 10)
+                    self.assertEqual({answer[2] for answer in answers}, {body})
+                    self.assertEqual([len(rig.engines[id].calls) for id in "rw"], [11, 11])
+                    rig.close()
+
+
+class Connecting(Case):
+    @contextlib.contextmanager
+    def failing_connects(self, rig, number):
+        """Connects to servers fail while this lasts."""
+        addresses = {("127.0.0.1", engine.server.address[1]) for engine in rig.engines.values()}
+
+        def wrapped(call, gives_number):
+            def connect(sock, address):
+                if tuple(address[:2]) not in addresses:
+                    return call(sock, address)
+                if gives_number:
+                    return number
+                raise OSError(number, os.strerror(number))
+
+            return connect
+
+        with contextlib.ExitStack() as patches:
+            for kind, name in (
+                (gevent_socket.socket, "connect"),
+                (gevent_socket.socket, "connect_ex"),
+                (socket.socket, "connect"),
+                (socket.socket, "connect_ex"),
+            ):
+                call = wrapped(getattr(kind, name), name == "connect_ex")
+                patches.enter_context(mock.patch.object(kind, name, call))
+            yield
+
+    LOCAL = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN, errno.EINTR, errno.ENOMEM)
+
+    def test_trouble_of_this_machine_that_passes_costs_no_attempt(self):
+        for number in self.LOCAL:
+            with self.subTest(error=errno.errorcode[number]):
+                rig = self.pair()
+                with self.failing_connects(rig, number):
+                    client = rig.client().ask()
+                    gevent.sleep(0.1)
+                self.assertEqual(client.answer()[0], 200)
+                self.assertEqual(rig.node.counters["ended_unreachable"], 0)
+                rig.close()
+
+    def test_no_server_is_judged_by_trouble_of_this_machine(self):
+        for number in self.LOCAL:
+            with self.subTest(error=errno.errorcode[number]):
+                rig = self.pair()
+                with self.failing_connects(rig, number):
+                    self.assertEqual(rig.ask()[0], 503)
+                self.assertEqual([rig.node.desk.front.engines[id].failed for id in "rw"], [0, 0])
+                self.assertEqual(rig.ask("b" * 16)[0], 200)
+                rig.close()
