Transient errors leave connections standing; trouble of this machine is waited out

Ruled out: gevent's own waits (they never make the failing calls). Cause: edge/line.py let every OSError but BlockingIOError end a connection (consume not even that), and _connect told any failed connect as the server's. Change: edge/system_errors.py says which errors leave a connection standing (EAGAIN, EINTR, ENOBUFS, ENOMEM) and which are this machine's own (also EADDRNOTAVAIL, ENETUNREACH, ENETDOWN, EMFILE, ENFILE). Bytes that could not be read away are owed and read first; looks that failed ask poll; sends and reads pause 2 ms. A local connect error is tried again each 10 ms within the same connect limit, and then ends as not sent: no attempt ran, no server is judged.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -5,7 +5,9 @@
 """
 
 import array
+import errno
 import fcntl
+import os
 import select
 import socket
 import struct
@@ -14,11 +16,68 @@
 import gevent
 from gevent import socket as gevent_socket
 
+from martenrouter.edge import clock
+from martenrouter.edge.system_errors import is_local, is_transient
+
 ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 DISCARD_UNSENT = struct.pack(
     "ii", 1, 0
 )  # SO_LINGER on, for no time: a close drops what the system still holds
 READABLE, WRITABLE = 1, 2  # as in libev
+CONNECT_PAUSE = 0.01  # seconds before a connect that this machine failed is tried again
+CALL_PAUSE = 0.002  # seconds before a call on an open connection that failed for a moment is made again
+
+
+def _resolved(host, port):
+    """(family, address); a numeric host needs no resolver. Raises OSError."""
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, host)
+            return family, (host, port)
+        except OSError:
+            continue
+    family, _, _, _, address = gevent_socket.getaddrinfo(host, port, 0, socket.SOCK_STREAM)[0]
+    return family, address
+
+
+def _connect_once(family, address, within):
+    """A plain socket that is connected and doesn't block. Raises OSError."""
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        number = sock.connect_ex(address)
+        if number == errno.EINPROGRESS:
+            with gevent.Timeout(max(within, 0), TimeoutError(errno.ETIMEDOUT, "no connection in time")):
+                _wait_for(sock, WRITABLE)
+            number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if number:
+            raise OSError(number, os.strerror(number))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def _connected(address, within):
+    """As `_connect_once`; trouble of this machine that passes within `within` seconds is waited out."""
+    until = clock.now() / 1e6 + within
+    family, address = _resolved(*address)
+    while True:
+        try:
+            return _connect_once(family, address, until - clock.now() / 1e6)
+        except OSError as why:
+            if not is_local(why) or clock.now() / 1e6 + CONNECT_PAUSE >= until:
+                raise
+        gevent.sleep(CONNECT_PAUSE)
+
+
+def _wait_for(sock, events):
+    hub = gevent.get_hub()
+    watcher = hub.loop.io(sock.fileno(), events)
+    try:
+        hub.wait(watcher)
+    finally:
+        watcher.close()
 
 
 class Line:
@@ -27,12 +86,17 @@
     def __init__(self, address, within, made=None):
         """Raises OSError when there is no connection within `within` seconds. `made`: a gevent socket that is
         connected already, such as an accepted one."""
-        made = made or gevent_socket.create_connection(address, timeout=within)
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock = socket.socket(fileno=made.detach())
+        self._sock = _connected(address, within) if made is None else socket.socket(fileno=made.detach())
         self._sock.setblocking(False)
+        try:
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            pass  # it serves without, if a little later
         self._hub = gevent.get_hub()
         self._came = self._hub.loop.io(self._sock.fileno(), READABLE)
+        self._owed = 0  # bytes that were consumed and could not be read away yet
+        self._pauses = False  # whether the last send failed for a moment
+        self._unsure = False  # whether the last look did, so that it shows nothing
 
     # ---- reading ----
 
@@ -44,6 +108,10 @@
                 return self._sock.recv(most)
             except BlockingIOError:
                 continue
+            except OSError as why:
+                if not is_transient(why):
+                    raise
+            gevent.sleep(CALL_PAUSE)
 
     def wait_readable(self):
         """Waits until there are bytes, the peer's end, or an error to be had."""
@@ -59,16 +127,41 @@
 
     def peek(self, most):
         """What has come and nobody has read, up to `most` bytes, left where it is; b"" at the end, None where
-        nothing has come. Raises OSError."""
+        nothing has come, or can't be had just now. Raises OSError."""
+        self._unsure = False
         try:
+            self._read_away()
             return self._sock.recv(most, socket.MSG_PEEK)
         except BlockingIOError:
             return None
+        except OSError as why:
+            if not is_transient(why):
+                raise
+            self._unsure = True
+            return None
 
     def consume(self, count):
         """Reads `count` bytes that `peek` showed. Raises OSError."""
-        while count:
-            count -= len(self._sock.recv(count))
+        self._owed += count
+        try:
+            self._read_away()
+        except OSError as why:
+            if not is_transient(why):
+                raise  # else they are read away before anything else is
+
+    def _read_away(self):
+        while self._owed:
+            data = self._sock.recv(self._owed)
+            if not data:
+                raise ConnectionResetError(errno.ECONNRESET, "what had come is gone")
+            self._owed -= len(data)
+
+    def _poll(self, events):
+        """Which of `events`, or of ENDS, the system reports now."""
+        look = select.poll()
+        look.register(self._sock.fileno(), events)
+        seen = look.poll(0)
+        return seen[0][1] if seen else 0
 
     # ---- sending ----
 
@@ -86,17 +179,22 @@
 
     def send_some(self, data):
         """How many bytes went out without waiting. Raises OSError."""
+        self._pauses = False
         try:
             return self._sock.send(data)
         except BlockingIOError:
             return 0
+        except OSError as why:
+            if not is_transient(why):
+                raise
+            self._pauses = True
+            return 0
 
     def wait_writable(self):
-        room = self._hub.loop.io(self._sock.fileno(), WRITABLE)
-        try:
-            self._hub.wait(room)
-        finally:
-            room.close()
+        """Until it is worth while to send again."""
+        if self._pauses:
+            gevent.sleep(CALL_PAUSE)
+        _wait_for(self._sock, WRITABLE)
 
     def unsent(self):
         """Bytes that were given to the system and that the peer's machine has not taken yet; 0 where the
@@ -120,7 +218,7 @@
     def quiet(self):
         """Whether an idle connection has neither been closed by its peer nor sent anything."""
         try:
-            return self.peek(1) is None
+            return self.peek(1) is None and not (self._unsure and self._poll(select.POLLIN | ENDS))
         except OSError:
             return False
 
@@ -130,12 +228,10 @@
             seen = self.peek(1)
         except OSError:
             return True
-        if not seen:
+        if not seen and not self._unsure:
             return seen is not None
-        # bytes wait to be read, and the end may stand behind them: the system knows of it
-        look = select.poll()
-        look.register(self._sock.fileno(), ENDS)
-        return any(seen & ENDS for _, seen in look.poll(0))
+        # where bytes wait to be read, the end may stand behind them: the system knows of it
+        return bool(self._poll(ENDS) & ENDS)
 
     def unread(self):
         """Whether bytes have come that nobody has read: closing over them would reset the connection."""
--- a/martenrouter/edge/lines.py
+++ b/martenrouter/edge/lines.py
@@ -7,6 +7,7 @@
 
 from martenrouter.edge import clock
 from martenrouter.edge.line import Line
+from martenrouter.edge.system_errors import is_local
 
 
 class Stopped(gevent.GreenletExit):
@@ -22,6 +23,8 @@
 
 
 class Lines:
+    local_ending = "unreachable"  # of an attempt for which this machine could make no connection
+
     def __init__(self, kept, connect_within, counters):
         """`kept`: decisions.connections.Connections; `connect_within` in microseconds."""
         self.kept, self.connect_within, self.counters = kept, connect_within / 1e6, counters
@@ -69,7 +72,7 @@
         try:
             connection = Line(address, within or self.connect_within)
         except OSError as why:
-            raise Broke("unreachable", str(why)) from why
+            raise Broke(self.local_ending if is_local(why) else "unreachable", str(why)) from why
         self.counters["connection_opened"] += 1
         return connection
 
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -19,9 +19,11 @@
 import enum
 import socket
 
+import gevent
 from gevent.event import Event
 
 from martenrouter.edge import clock
+from martenrouter.edge.line import CALL_PAUSE
 from martenrouter.edge.send_buffer import SendBuffer
 from martenrouter.node.arrivals import Arrivals
 from martenrouter.wire import http
@@ -119,7 +121,9 @@
         data = self.line.peek(CHUNK)
         if data == b"":
             raise ClientLeft
-        if data:
+        if data is None:
+            gevent.sleep(CALL_PAUSE)  # there is something, and it can't be had just now
+        else:
             came = self.server.turns.earliest()
             self.arrivals.seen(len(data), came)
             if self.state is State.IDLE:
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -47,6 +47,8 @@
 
 
 class Engines(Lines):
+    local_ending = "not sent"  # it speaks against no server
+
     def __init__(self, kept, connect_within, release_within, counters, log):
         """`connect_within`, `release_within`: microseconds, as the settings have them."""
         super().__init__(kept, connect_within, counters)
