A send that has not arrived holds no state; an older list undoes no drain

Ruled out: the release limit itself (it holds where connections fail to come up). Cause: hands and policy took a forward whose bytes the system had taken for one that is out; the state's clock stood still until the forward was given up (half the target, or the deadline), and began anew then (rules.py outcome). Change: the node asks the system 40 to 90 ms after a send behind a state whether the peer's machine has its bytes (TIOCOUTQ) and tells the policy (arrival).

--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -18,6 +18,7 @@
 # is lost, whether or not it asks for the rest elsewhere. On 15 brink days of a site without such clients no
 # stream that had been silent for 2 s went on
 SILENT_WITHIN = 4_500_000
+ARRIVES_WITHIN = 40_000  # microseconds from the last byte's sending to its arrival; most need one round trip
 LOOKS = 50_000  # microseconds between looks at what no event tells (node/life.py)
 LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
 LEAVES_NOTHING = (
@@ -260,16 +261,17 @@
     def _clear(self, r, after, first=None):
         """Guards against a call that comes before its engine has seen a connection close: a forward that
         seems to be out keeps its state from being let go, and a read may end well just then. So it is made
-        twice, and not while a forward is out, which would lose its state. One that has written nothing has
-        none yet: engines that take no connection, one after the other, would keep a state that a broken read
-        left for as long as they take to fail. `first` is the engine of a read that ended well; where one
-        broke, its engine may be silent, and one that answered lately is asked first."""
+        twice, and not while a forward is out, which would lose its state. One that has written nothing, or
+        whose bytes have not arrived, has none yet: engines that take no connection, one after the other,
+        would keep a state that a broken read left for as long as they take to fail. `first` is the engine of
+        a read that ended well; where one broke, its engine may be silent, and one that answered lately is
+        asked first."""
         self.engines.let_go(
             r.id,
             first,
             self._others,
             after,
-            lambda: not r.holds and all(f.written is None for f in r.forwards.values()),
+            lambda: not r.holds and all(f.written is None or f.arrived is False for f in r.forwards.values()),
         )
 
     def move_streams(self, after, moved, part):
@@ -354,8 +356,23 @@
             key=lambda id: (id not in kept, -kept[id][-1][0] if id in kept else 0),
         )
 
+    def _look_after_sends(self, now):
+        """Tells the policy whether a send behind a read state has arrived, each time that changes."""
+        for f in self.engines.out.values():
+            waits = f.written is not None and not f.began and not f.reads and f.arrived is not True
+            if waits and f.req.reader and now - f.written > ARRIVES_WITHIN:
+                arrived = not f.connection.unsent()
+                if arrived is not f.arrived:
+                    self.counters["sends_not_arrived"] += not arrived
+                    self.log.debug("send_arrival", req=f.req.id, n=f.n, engine=f.engine, arrived=arrived)
+                    if f.arrived is False or not arrived:
+                        self.desk.post("arrival", f.req.id, f.n, arrived)
+                    f.arrived = arrived
+
     def look_after(self, now):
-        """What no event tells: a req past its deadline, a stream that has gone silent."""
+        """What no event tells: a req past its deadline, a stream that has gone silent, a send that does not
+        arrive."""
+        self._look_after_sends(now)
         for f in list(self.engines.out.values()):
             if f.began and now - f.heard > (HALF_WITHIN if f.half else SILENT_WITHIN):
                 self.counters["streams_silent"] += 1
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -13,6 +13,7 @@
 from martenrouter.edge import clock
 from martenrouter.node.desk import Desk
 from martenrouter.node.door import Door
+from martenrouter.node.drains import Drains
 from martenrouter.node.engines import Engines
 from martenrouter.node.hands import LOOKS, Hands
 from martenrouter.node.leaving import TimeLine
@@ -47,7 +48,7 @@
         plain = told.from_nested(settings.settings)
         super().__init__(plain, collections.Counter(), log)
         self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
-        self.starts = ServerStarts(clock.now(), clock.wall())
+        self.starts, self.drains = ServerStarts(clock.now(), clock.wall()), Drains()
         self.desk = Desk(Front(zlib.crc32(settings.seed.encode()), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
@@ -94,7 +95,7 @@
         on."""
         scope = scope or ("whole" if message.complete else "changes")
         starts = self.starts.take({m.id: m.up_since_ms for m in message.members}, clock.now())
-        rows = [members.row(member, starts[member.id]) for member in message.members]
+        rows = [self._row(member, starts[member.id], message.revision) for member in message.members]
         moved = {}
         if scope != "changes":
             named = {member.id for member in message.members}
@@ -116,6 +117,10 @@
             rows=[(row[3], row[0], row[6]) for row in rows] if scope == "changes" else len(rows),
         )
 
+    def _row(self, member, start, revision):
+        phase, *rest = members.row(member, start)
+        return self.drains.phase(member, phase, revision), *rest
+
     # ---- life ----
 
     def start(self):
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -272,6 +272,14 @@
         self.live.pop(id, None)
         r.stage = max(r.stage, STARTED)
 
+    def arrival(self, id, n, arrived):
+        """Whether the last byte of a forward has reached its engine's machine; told where it has not, and
+        when it has after that."""
+        r = self.reqs.get(id)
+        f = r and r.out.get(n)
+        if f:
+            f.arrived = arrived
+
     def outcome(self, id, n, ending, engine_id, elapsed, final, note, load):
         self.probed(ending, elapsed, engine_id, load)
         r = self.reqs.get(id)
@@ -311,7 +319,8 @@
             r.stage, r.banned = UNREAD, f.engine
         else:
             out = {"unreachable": 0, "not sent": 0, "reset": self.now - f.sent}  # may never have come there:
-            r.clock = r.clock + out[ending] if ending in out else self.now  # its state waits on
+            if f.arrived:
+                r.clock = r.clock + out[ending] if ending in out else self.now  # its state waits on
             r.stage, r.banned = READ if r.held else UNREAD, f.engine
         never_up = min(self.settings.get("connect_within", 1), self.release_within)
         if ending == "unreachable" and elapsed >= never_up:
@@ -544,7 +553,7 @@
     def send(self, r, engine, reads, link=None, roomy=True):
         f = Record()
         f.req, f.n, f.engine, f.sent, f.reads, f.link = r, r.used, engine, self.now, reads, link
-        f.started, f.cancelled, f.roomy = False, False, roomy
+        f.started, f.cancelled, f.roomy, f.arrived = False, False, roomy, True
         f.zone, f.cell = engine.zone, engine.cell  # where it ran, wherever the list has that id later
         f.cost = 0 if link else self.cost(engine, r)  # a mixed engine that gets no state reads as well
         f.tokens = f.cost if reads else r.prompt + r.answer
@@ -589,6 +598,10 @@
             if self.now >= self.answer_by(r) or missed or over:
                 self.give_up(r)
                 continue
+            stuck = [f for f in r.out.values() if not (f.arrived or f.reads or f.started or f.cancelled)]
+            if stuck and r.held and self.now >= self.release_at(r):
+                self.abandon(r, stuck)
+                continue
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
             for f in r.out.values():
@@ -605,6 +618,15 @@
                     self.in_vain(f)
                     self.cancel(f)
 
+    def abandon(self, r, stuck):
+        """Rule 5: forwards that have not arrived don't hold the state; it goes elsewhere, or is let go."""
+        if not self.settings.get("may_cancel"):
+            return self.give_up(r)  # nothing can take their place while they are out
+        for f in stuck:
+            f.engine.fail(self.now, 1)
+            self.in_vain(f)
+            self.cancel(f)
+
     def place_unread(self):
         unread = sorted((r for r in self.live.values() if r.stage == UNREAD), key=lambda r: r.rank)
         if not unread:
--- a/tests/sockets/test_held_states.py
+++ b/tests/sockets/test_held_states.py
@@ -67,6 +67,18 @@
                         gevent.sleep(0.1)
                     rig.close()
 
+    def test_a_send_that_has_not_arrived_goes_to_another_server_in_time(self):
+        rig = self.rig(Engine("r", "prefill"), Engine("v", "decode"), Engine("w", "decode"), grades=[FREE])
+        self.assertEqual([rig.ask("%016x" % n)[0] for n in range(6)], [200] * 6)
+        gevent.sleep(0.1)
+        writers = [rig.engines[id] for id in "vw" if rig.engines[id].calls]
+        with SilentNetwork(writers[:1]) as network:
+            network.silent = True
+            begun = time.monotonic()
+            answers = [rig.ask("%016x" % n, x_timeout_ms="4000")[0] for n in range(10, 14)]
+            self.assertEqual(answers, [200] * 4)
+            self.assertLess(time.monotonic() - begun, 4 * HELD_WITHIN)
+
     def test_calls_to_release_go_on_for_as_long_as_this_machine_makes_no_connection(self):
         def hang(server, sock, call, nth):
             while sock.recv(4096):
