--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -44,9 +44,12 @@
         self.connection = None  # once there is one
         self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False  # part of an event or of a chunk has come
+        self.arrived = None  # whether its last byte has reached the engine's machine; None: not looked yet
 
 
 class Engines(Lines):
+    local_ending = "not sent"  # it speaks against no server
+
     def __init__(self, kept, connect_within, release_within, counters, log):
         """`connect_within`, `release_within`: microseconds, as the settings have them."""
         super().__init__(kept, connect_within, counters)
