One guard for sends, repeats and closes, with run-time counts of violations

node/guard.py: what Hands.may_still_send looked at, and beside it what the policy alone kept till now: no second copy, no repeat of an effect, a keyed repeat only where the first ran. It refuses these and counts them as violation_...; closes over an open request and states held over the limit are counted too. The drawn faults' oracle demands zero. Logs: why a connection is closed, why an attempt is refused, and the attempts of each request that did not end well (history of req_over).

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -301,7 +301,7 @@
 
     def _send_failed(self, why):
         self.server.counters["connection_closed_unread"] += len(self.buffer) > UNSENT_LIMIT
-        self.close()
+        self.close("not sent: " + why)
 
     def _drained(self):
         """All that was put has gone out."""
@@ -323,13 +323,14 @@
         and answered."""
         if self.state is State.IDLE and self.buffer.empty:
             if self.line.quiet():
-                self.close()
+                self.close("stop")
             elif self.asked:
                 self._close_gracefully()
 
-    def close(self):
-        """From any greenlet: the connection's own sees it and clears up."""
+    def close(self, why="by its owner"):
+        """From any greenlet: the connection's own sees it and clears up. `why`: a few words for the log."""
         if self.state is not State.CLOSED:
+            self.server.closes(self, why)
             self.state = State.CLOSED
             self.server.forget(self)
             self.buffer.stop()
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -211,6 +211,11 @@
         if self.listens:
             self.server.resume()
 
+    def closes(self, conn, why):
+        """One is about to be closed from this side."""
+        self.log.debug("connection_closed", why=why, state=conn.state.value, requests=conn.asked)
+        self.hands.guard.closes(conn)
+
     def forget(self, conn):
         """It is closed, and takes no room any more."""
         self.conns.pop(id(conn), None)
@@ -230,7 +235,7 @@
         ):
             if conn.closing_since is not None or not conn.line.unread():
                 self.counters["connection_made_room"] += 1
-                conn.close()
+                conn.close("room for another")
                 return True
         halves = [
             conn
@@ -255,14 +260,14 @@
                 # the others are looked at all the same
                 self.counters["connection_failed"] += 1
                 self.log.error("connection_failed", error="%s: %s" % (type(why).__name__, why))
-                conn.close()
+                conn.close("a fault in looking at it")
 
     def _look_at(self, conn, now):
         if conn.buffer.waits_since is not None and now - conn.buffer.waits_since > UNSENT_WITHIN:
             self.counters["connection_closed_unread"] += 1
-            conn.close()
+            conn.close("its client takes nothing")
         elif conn.closing_since is not None and now - conn.closing_since > LINGER:
-            conn.close()
+            conn.close("after its last answer")
         elif conn.state is State.SERVING and conn.arrivals.pending or conn.state is State.CLOSING:
             conn.changed.set()  # it looks whether its client has gone, behind bytes that nobody has read
         elif conn.state is State.READING:
@@ -270,7 +275,7 @@
         elif conn.state is State.IDLE and conn.buffer.empty and conn.line.quiet():
             if now - conn.since > (IDLE_WITHIN if conn.asked else WHOLE_WITHIN):
                 self.counters["connection_closed_idle"] += 1
-                conn.close()
+                conn.close("idle")
 
     def _look_at_unfinished(self, conn, now):
         reading = now - conn.reading_since
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -44,6 +44,7 @@
         self.connection = None  # once there is one
         self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False  # part of an event or of a chunk has come
+        self.place = None  # (zone, cell) of its engine when it began; see guard.py
         self.arrived = None  # whether its last byte has reached the engine's machine; None: not looked yet
 
 
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -10,6 +10,7 @@
 from martenrouter.edge import clock
 from martenrouter.edge.lines import Broke, Stopped
 from martenrouter.node.engines import Forward
+from martenrouter.node.guard import Guard
 
 # A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
 # this old is spoilt
@@ -45,6 +46,9 @@
         self.doubtful = (
             False  # whether there may be a state all the same: a read broke, or a writer could not get it
         )
+        self.may_have_run = {}  # n -> an attempt that is no read, from its first byte on; kept by the guard
+        self.held_since = None  # when the read ended whose state nothing has taken or released yet
+        self.history = []  # of its attempts that ended: (n, engine, ending, milliseconds)
         self.over = None  # its final answer: done, pushed back, aborted, broken or gone
 
 
@@ -63,8 +67,9 @@
         self.all_by = (
             None  # a planned stop: when every answer has to be out, whatever deadline its client gave
         )
+        self.guard = Guard(settings, counters, log)
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
-        self.phases, self.kinds = {}, {}  # engine -> its phase and kind, as last told
+        self.phases, self.kinds = self.guard.phases, {}  # engine -> its phase and kind, as last told
 
     # ---- from the door ----
 
@@ -166,7 +171,7 @@
     def let_go(self, id):
         r = self.reqs.get(id)
         if r and r.reader:
-            r.holds = False
+            r.holds, r.held_since = False, None
             self._clear(r, AT_ONCE_AND_AGAIN, r.reader)
 
     def wake(self, mark, after):
@@ -181,17 +186,12 @@
         return self.roles.get(self.kinds.get(engine)) == "read"
 
     def may_still_send(self, f):
-        """Protocol facts only: the req is open, its forward not cancelled, its engine neither draining nor
-        gone, the window in which a keyed one may be repeated not over, and its client still there: the loop
-        may be behind with reading that it has closed, and nothing may begin for it by then."""
-        return (
-            f.req.over is None
-            and not f.ended
-            and self.phases.get(f.engine) == "up"
-            and clock.now() < f.until
-            and not f.req.conn.line.ended()
-            and (f.req.repeat_by is None or f.reads or clock.now() < f.req.repeat_by)
-        )
+        """The last look before the first byte. The loop may be behind with reading that the client has
+        closed, and nothing may begin for it by then."""
+        if self.guard.refuses(f, clock.now()) is not None:
+            return False
+        self.guard.begins(f)
+        return True
 
     def events(self, f, data):
         """Whole events came. The first ones make this the forward whose stream the client gets."""
@@ -203,7 +203,7 @@
         if not f.began:
             if r.over or r.streams:
                 raise Broke("cancelled", "late")
-            f.began, r.streams = clock.now(), f
+            f.began, r.streams, r.held_since = clock.now(), f, None
             self.desk.post("first_token", r.id, f.n, f.engine, clock.now() - f.at)
             for other in list(r.forwards.values()):
                 if other is not f:
@@ -237,12 +237,16 @@
             idled=f.idled,
         )
         self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
+        self.guard.ended(f, ending in LEAVES_NOTHING)
+        r.history.append((f.n, f.engine, ending, elapsed // 1000))
         if f.reads:
             r.holds = ending == "read"
+            r.held_since = clock.now() if r.holds else None
             r.doubtful = r.doubtful or ending not in LEAVES_NOTHING
         elif ending == "full" and note == 1:
-            r.holds, r.doubtful = (
+            r.holds, r.held_since, r.doubtful = (
                 False,
+                None,
                 True,
             )  # its reader may only be cut off from that writer, and hold the state all the same
         if (
@@ -318,6 +322,7 @@
             left=r.deadline - clock.now(),
             forwards=r.used,
             engine=r.streams.engine if r.streams else None,
+            **({} if over == "done" else {"history": r.history}),
         )
         if r.doubtful and r.streams is None:
             self._clear(r, LATER_AND_AGAIN)
@@ -373,6 +378,7 @@
         """What no event tells: a req past its deadline, a stream that has gone silent, a send that does not
         arrive."""
         self._look_after_sends(now)
+        self.guard.look(self.reqs.values(), now)
         for f in list(self.engines.out.values()):
             if f.began and now - f.heard > (HALF_WITHIN if f.half else SILENT_WITHIN):
                 self.counters["streams_silent"] += 1
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -104,10 +104,12 @@
             moved[member.id] = member.host_port if row[0] != "gone" else None
             self.kinds[member.id] = member.flavor
             self.phases[member.id] = row[0]
+            self.guard.places[member.id] = row[2], row[4]
         for id, address in moved.items():
             if address is None:
                 self.phases.pop(id, None)
                 self.kinds.pop(id, None)
+                self.guard.places.pop(id, None)
         self.engines.moved(moved)
         self.desk.post("listed", message.revision, scope, rows)
         self.log.info(
--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -477,6 +477,9 @@
         for name in ("connection_failed", "forward_failed"):
             if node.counters[name]:
                 self.broken("%d times %s" % (node.counters[name], name))
+        for name, count in node.counters.items():
+            if name.startswith("violation_"):
+                self.broken("%d times %s" % (count, name))
         if node.desk.faults:
             self.broken("%d rounds failed" % node.desk.faults)
 
--- a/tests/sockets/test_fault_scenarios.py
+++ b/tests/sockets/test_fault_scenarios.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from martenrouter.node.client_connection import ClientConnection
+from martenrouter.node.guard import Guard
 from martenrouter.node.hands import Hands
 from martenrouter.rules import Front
 from tests.sockets.fault_scenarios import Scenario
@@ -67,9 +68,21 @@
         with (
             mock.patch.object(Front, "may_send", lambda *_: True),
             mock.patch.object(Front, "repeatable", lambda *_: True),
+            mock.patch.object(Guard, "_why_no_repeat", lambda *_: None),
         ):
             self.caught("was begun again", behaviours={"plain": 1}, faults={"answer": 1, "reset": 3})
 
+    def test_a_policy_that_doubles_effects_is_held_back_and_counted(self):
+        with (
+            mock.patch.object(Front, "may_send", lambda *_: True),
+            mock.patch.object(Front, "repeatable", lambda *_: True),
+        ):
+            mix = {"behaviours": {"plain": 1}, "faults": {"answer": 1, "reset": 3}}
+            self.caught("violation_", **mix)
+            for seed in range(200, 200 + MOST_TRIED // 4):
+                wrong = Scenario(seed, **mix).play()
+                self.assertEqual([what for what in wrong if "was begun again" in what], [])
+
     def test_trouble_at_a_server_that_frees_a_request(self):
         finish = Hands._finish
 
