--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,288 @@
+"""Front nodes as processes, each with an agent of its own, and a proxy before each server."""
+
+import json
+import os
+import signal
+import struct
+import subprocess
+import sys
+import time
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from martenrouter.lab.processes import Ports
+from martenrouter.wire import http
+from tests.sockets.node_rig import Agent, Client
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+READY_WITHIN = 10  # seconds
+STILL_OWED = 0.7  # seconds after SIGTERM in which what comes is owed an answer
+KILLED_AFTER = 3.7  # seconds after SIGTERM: the longest deadline of these settings, and 0.7
+RESET = struct.pack("ii", 1, 0)
+HEARTBEAT = 1.0  # seconds between empty lines of an agent
+
+
+class Proxy:
+    """Passes connections on to a server; resets, refuses or slows them."""
+
+    def __init__(self, server):
+        self.server, self.pairs, self.delay, self.refuses_until = server, set(), 0.0, 0.0
+        self.listener = StreamServer(("127.0.0.1", 0), self._accepted)
+        self.listener.start()
+
+    @property
+    def port(self):
+        return self.listener.server_port
+
+    def _accepted(self, sock, _):
+        if time.monotonic() < self.refuses_until:
+            return self._reset(sock)
+        try:
+            other = socket.create_connection(("127.0.0.1", self.server.server.server_port), timeout=1)
+        except OSError:
+            return self._reset(sock)
+        other.settimeout(None)
+        for end in (sock, other):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pair = (sock, other)
+        self.pairs.add(pair)
+        back = gevent.spawn(self._pump, pair, other, sock)
+        self._pump(pair, sock, other)
+        back.join()
+
+    def _pump(self, pair, source, target):
+        try:
+            while data := source.recv(65536):
+                if self.delay:
+                    gevent.sleep(self.delay)
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR) if source is pair[1] else target.close()
+        except OSError:
+            self._end(pair)
+        finally:
+            if source is pair[0]:
+                self._end(pair)
+
+    def _end(self, pair):
+        if pair in self.pairs:
+            self.pairs.discard(pair)
+            for sock in pair:
+                self._reset(sock)
+
+    @staticmethod
+    def _reset(sock):
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        sock.close()
+
+    def reset(self):
+        for pair in list(self.pairs):
+            self._end(pair)
+
+
+class Node:
+    """One front node: its process, configuration, agent, and what happened to it."""
+
+    def __init__(self, number, fleet):
+        self.number, self.fleet = number, fleet
+        self.port, self.agent = fleet.ports.take(), None
+        self.path = os.path.join(fleet.folder, "node-%d.json" % number)
+        self.spec_path = os.path.join(fleet.folder, "node-%d.spec" % number)
+        self.log_path = os.path.join(fleet.folder, "node-%d.log" % number)
+        self.popen, self.kills, self.stops, self.not_ready = None, [], [], 0
+        self.had = {}  # server's id -> when the agent had the news that nothing new may go there, open or not
+        self.new_agent()
+
+    def new_agent(self):
+        old, self.agent = self.agent, Agent()
+        self.agent.greeting = self.fleet.greeting()
+        if old is not None:
+            gevent.spawn_later(1.5, self._close_agent, old)
+
+    @staticmethod
+    def _close_agent(agent):
+        agent.server.stop()
+        for sock in list(agent.open):
+            sock.close()
+
+    def write(self, part=1.0):
+        told = {
+            "name": "n%d" % self.number,
+            "listen": "127.0.0.1:%d" % self.port,
+            "discovery": self.agent.address,
+            "seed": "%x" % (self.fleet.seed * 1000 + self.number),
+            "settings": self.fleet.settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": {"revision": 1, "complete": True, "members": self.fleet.first_members},
+        }
+        text = json.dumps(told)
+        with open(self.path, "w") as file:
+            file.write(text[: int(len(text) * part)])
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "tests.soak.launcher", self.spec_path, "node", self.path],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        return self.wait_ready()
+
+    def wait_ready(self):
+        until = time.monotonic() + READY_WITHIN
+        while time.monotonic() < until and self.popen.poll() is None:
+            if self._is_ready():
+                return True
+            gevent.sleep(0.05)
+        self.not_ready += 1
+        return False
+
+    def _is_ready(self):
+        try:
+            client = Client(("127.0.0.1", self.port))
+        except OSError:
+            return False
+        try:
+            client.send(b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+            return client.answer()[0] == 200
+        except OSError:
+            return False
+        finally:
+            client.close()
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def stop_and_start_anew(self):
+        self.stops.append(time.monotonic())
+        self.signal(signal.SIGTERM)
+        self.ended_within(KILLED_AFTER)
+        self.start()
+
+    def ended_within(self, seconds):
+        until = time.monotonic() + seconds
+        while self.popen.poll() is None and time.monotonic() < until:
+            gevent.sleep(0.01)
+        if self.popen.poll() is None:
+            self.kills.append(time.monotonic())
+            self.signal(signal.SIGKILL)
+            self.popen.wait()
+        elif self.popen.returncode:
+            self.fleet.broken("node %d ended with %d" % (self.number, self.popen.returncode))
+
+    def kill_and_start_anew(self):
+        self.kills.append(time.monotonic())
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+        self.start()
+
+    def pause(self, seconds):
+        self.signal(signal.SIGSTOP)
+        gevent.sleep(seconds)
+        self.signal(signal.SIGCONT)
+
+    def reload(self, half_written):
+        self.new_agent()
+        if half_written:
+            self.write(part=0.6)
+            self.signal(signal.SIGHUP)
+            gevent.sleep(0.8)
+        self.write()
+        if not half_written:
+            self.signal(signal.SIGHUP)
+
+    def lines(self):
+        with open(self.log_path, errors="replace") as file:
+            for line in file:
+                yield line.rstrip("\n")
+
+
+class Fleet:
+    """`broken(text)` takes what went wrong with a process."""
+
+    def __init__(self, seed, count, servers, settings, folder, broken):
+        self.seed, self.settings, self.folder, self.broken = seed, settings, folder, broken
+        self.servers, self.ports, self.revision = servers, Ports(), 1
+        self.phases = {server.id: "active" for server in servers}
+        self.proxies = [Proxy(server) for server in servers]
+        self.first_members = self.members()
+        self.nodes = [Node(n, self) for n in range(count)]
+        self.heart = gevent.spawn(self._beat)
+
+    def members(self):
+        return [self.member(server) for server in self.servers]
+
+    def member(self, server):
+        proxy = next(proxy for proxy in self.proxies if proxy.server is server)
+        told = server.member(self.phases[server.id])
+        return {**told, "host_port": "127.0.0.1:%d" % proxy.port}
+
+    def greeting(self):
+        return Agent.line(self.revision, self.members(), True)
+
+    def tell(self, server, draw):
+        """Each agent has the news a little later than others, and tells it at once if it can."""
+        self.revision += 1
+        for node in self.nodes:
+            gevent.spawn_later(draw.uniform(0, 0.5), self._tell, node, self.revision, server)
+
+    def _tell(self, node, revision, server):
+        if node.agent.greeting is None:
+            return  # an outage; it has the news when that is over
+        node.agent.greeting = self.greeting()
+        now = time.monotonic()
+        if self.phases[server.id] == "active":
+            node.had.pop(server.id, None)
+        else:
+            node.had.setdefault(server.id, now)
+        try:
+            node.agent.tell(revision, [self.member(server)])
+        except OSError:
+            pass  # that watch just ended
+
+    def outage(self, node, seconds):
+        node.agent.greeting = None
+        agent = node.agent
+        gevent.sleep(seconds)
+        if agent is node.agent:
+            agent.greeting = self.greeting()
+            for id, phase in self.phases.items():
+                if phase != "active":
+                    node.had.setdefault(id, time.monotonic())
+
+    def reset_watches(self, node):
+        for sock in list(node.agent.open):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.close()
+
+    def _beat(self):
+        while True:
+            gevent.sleep(HEARTBEAT)
+            for node in self.nodes:
+                if node.agent.greeting is not None:
+                    try:
+                        node.agent.raw(http.chunk(b"\n"))
+                    except OSError:
+                        pass  # that watch just ended
+
+    def close(self):
+        self.heart.kill()
+        for node in self.nodes:
+            if node.popen is not None and node.popen.poll() is None:
+                node.signal(signal.SIGCONT)
+                node.signal(signal.SIGKILL)
+                node.popen.wait()
+            node.agent.server.stop()
+        for proxy in self.proxies:
+            proxy.listener.stop()
+            proxy.reset()
+        for server in self.servers:
+            server.server.stop()
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,70 @@
+"""Troubles of one soak, drawn from its seed: what, when, to whom. The same seed gives the same plan."""
+
+import dataclasses
+import errno
+import random
+
+DURATION = 6.0  # seconds in which clients send and troubles begin
+MOST_TROUBLES = 14
+
+ERRORS = {
+    "accept": (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EPROTO, errno.EINTR),
+    "send": (errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM, errno.EINTR),
+    "recv": (errno.EAGAIN, errno.ENOMEM, errno.EINTR),
+    "connect": (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN, errno.EMFILE),
+    "open": (errno.EIO, errno.EMFILE),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Trouble:
+    """`at`: seconds from the start; `to`: number of a node or server, as its kind has it."""
+
+    kind: str
+    at: float
+    to: int
+    lasts: float = 0.0
+    detail: tuple = ()
+
+
+# how often each kind is drawn; those of processes, of discovery, of servers and their links, of the system
+KINDS = {
+    "stop": 4,
+    "kill": 2,
+    "pause": 3,
+    "reload": 3,
+    "reload_half_written": 2,
+    "outage": 2,
+    "watches_reset": 2,
+    "drain": 3,
+    "restart_cold": 4,
+    "links_reset": 4,
+    "links_refused": 2,
+    "links_slow": 2,
+    "clock": 4,
+    "failing_call": 8,
+    "silence": 3,
+}
+
+
+def drawn(seed, nodes, servers):
+    """The plan's troubles in the order of their begin."""
+    draw = random.Random("%d plan" % seed)
+    troubles = [_trouble(draw, nodes, servers) for _ in range(draw.randint(4, MOST_TROUBLES))]
+    return sorted(troubles, key=lambda trouble: trouble.at)
+
+
+def _trouble(draw, nodes, servers):
+    kind = draw.choices(list(KINDS), list(KINDS.values()))[0]
+    at, lasts, detail = draw.uniform(0.2, DURATION - 1), draw.uniform(0.3, 2.0), ()
+    to = draw.randrange(nodes)
+    if kind in ("drain", "restart_cold", "links_reset", "links_refused", "links_slow", "silence"):
+        to = draw.randrange(servers)
+    if kind == "clock":
+        # at: also before the process starts
+        at, detail = draw.choice((-10.0, at)), (draw.choice((-3600, -7, 7, 3600)),)
+    if kind == "failing_call":
+        call = draw.choice(list(ERRORS))
+        detail = call, draw.choice(ERRORS[call]), draw.choice((1, 2, 3))
+        lasts = draw.uniform(0.05, 0.4)
+    return Trouble(kind, round(at, 3), to, round(lasts, 3), detail)
