--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -1,9 +1,9 @@
 """Starts a front node as `run` does, behind shims of clock, disk and system calls:
 `python -m tests.soak.launcher SPEC node CONFIG`.
 
-SPEC names a JSON file: `clock` [[at, seconds]], `failing` [{from, to, call, errno, nth}], `silent` [{from, to,
-ports}], `mutation` a name of MUTATIONS or null. Times are seconds of the machine's monotonic clock, so that a
-plan holds over restarts. The program knows nothing of it.
+SPEC names a JSON file: `clock` [[at, seconds]], `failing` [{from, to, call, errno, nth}], `silent` [{from,
+to, ports}], `mutation` a name of MUTATIONS or null. Times are seconds of the machine's monotonic clock, so
+that a plan holds over restarts. The program knows nothing of it.
 """
 
 import builtins
