--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 """Front nodes as real processes under overlapping troubles drawn by seed; the invariants are its oracle.
 
 `python -m tests.soak.soak FIRST COUNT [--nodes N] [--keep]` plays seeds. One that breaks an invariant is
-printed with its plan; `--shrink` plays it again with troubles left out, one after the other, while it still breaks.
+printed with its plan; `--shrink` plays it again with troubles left out, one by one, while it still breaks.
 `--without 2,5` leaves those of the plan out, `--mutation NAME` breaks the program on purpose (launcher.py).
 All runs on loopback, ends by itself, and takes about 15 s a seed.
 """
