--- a/tests/sockets/test_crossings.py
+++ b/tests/sockets/test_crossings.py
@@ -496,6 +496,17 @@
         rig.until(lambda: other.asked)
         reload.join()
 
+    def test_a_configuration_that_is_written_slowly_is_taken_without_another_signal(self):
+        rig, other = self.pair(), Agent()
+        self.addCleanup(other.server.stop)
+        with open(rig.path) as file:
+            text = file.read().replace(rig.agent.address, other.address)
+        rig.write(None, data=text[: len(text) // 2])
+        gevent.spawn(rig.node.reload)
+        gevent.sleep(1.5)
+        rig.write(None, data=text)
+        rig.until(lambda: other.asked, within=2)
+
     def test_settings_of_another_shape_are_refused_at_a_reload(self):
         rig, other = self.pair(), Agent()
         self.addCleanup(other.server.stop)
--- a/tests/test_background_and_snapshots.py
+++ b/tests/test_background_and_snapshots.py
@@ -105,6 +105,14 @@
         self.assertIn("MDB_MAP_FULL", store.save(1, {"big": "x" * 200_000}))
         self.assertIsNone(store.save(2, {"small": 1}))
 
+    def test_a_clock_that_is_stepped_back_hides_nothing_that_is_saved_after_it(self):
+        store = self.store()
+        for wall in range(10, 10 + KEPT):
+            self.assertIsNone(store.save(wall * 10**9, {"n": wall}))
+        for wall in (6, 7, 8):  # an hour earlier
+            self.assertIsNone(store.save(wall * 10**9, {"n": wall}))
+            self.assertEqual(store.newest(), (wall * 10**9, {"n": wall}, []))
+
     def test_what_was_learnt_survives_another_clock(self):
         rig = Rig(ROWS)
         for i in range(8):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,12 +10,14 @@
 import tempfile
 import unittest
 
+import lmdb
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from martenrouter.decisions import booking
 from martenrouter.state.ledger import Ledger, Unusable, read_export
+from martenrouter.state.snapshots import Snapshots
 
 WALL = 1_764_600_000_000_000
 
@@ -118,7 +120,38 @@
             Ledger(os.path.join(self.dir, "ledger"), "g")
 
 
+class Panicked:
+    """An LMDB environment after a failed write of its root page: it takes no more writes, ever. Seen with EIO
+    from pwrite of less than a page."""
+
+    def __init__(self, env):
+        self.env = env
+
+    def begin(self, write=False, **more):
+        if write:
+            raise lmdb.PanicError("mdb_txn_begin")
+        return self.env.begin(**more)
+
+    def __getattr__(self, name):
+        return getattr(self.env, name)
+
+
 class Faults(Case):
+    def test_a_disk_error_that_ends_the_environment_ends_neither_ledger_nor_snapshots(self):
+        ledger = self.ledger()
+        ledger.append([entry(1)])
+        ledger._env = Panicked(ledger._env)
+        self.assertEqual(ledger.append([entry(1), entry(2)]), 1)
+        ledger._env = Panicked(ledger._env)
+        ledger.keep_counters({"n": 1})
+        self.assertEqual([one["id"] for one in ledger.entries(1)], ["f-1", "f-2"])
+        self.assertEqual(ledger.counters(), (2, {"n": 1}))
+        store = Snapshots(os.path.join(self.dir, "snapshots"), "f")
+        self.addCleanup(store.close)
+        store._env = Panicked(store._env)
+        self.assertIsNone(store.save(1, {"n": 1}))
+        self.assertEqual(store.newest(), (1, {"n": 1}, []))
+
     def test_torn_entries_are_named_set_aside_and_all_else_is_whole(self):
         ledger = self.ledger()
         ledger.append([entry(i) for i in range(1, 21)])
