--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -35,7 +35,8 @@
 COME_BACK = (
     1_000_000  # microseconds that what is turned away over a bound is told, where the settings allow it
 )
-UNREADABLE = 5  # further looks at a new configuration that can't be read, 0.1 s apart: it may be half written
+UNREADABLE = 5  # looks at a new configuration that can't be read, 0.1 s apart, before that is said
+SLOWLY_WRITTEN = 10  # seconds for which it is looked at after that
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
@@ -81,7 +82,7 @@
             log,
             lambda: self.starts.heard(clock.now()),
         )
-        self.done = Event()
+        self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
         self.listed(known, "first")
 
     def _read(self):
@@ -176,24 +177,40 @@
 
     def reload(self):
         """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes
-        nothing; as it may be half written just now, it is looked at again for half a second."""
-        for left in reversed(range(UNREADABLE + 1)):
-            try:
-                settings, _ = self._read()
-                told.from_nested(settings.settings)
-                break
-            except (codec.Unreadable, told.Unreadable, OSError) as why:
-                if not left:
-                    self.log.error(
-                        "configuration_refused",
-                        why=str(why),
-                        mend="the old one stays; mend the file and signal again",
-                    )
-                    return
-                gevent.sleep(0.1)
+        nothing. As it may be half written just now, it is looked at again: for half a second before that is
+        said, and for some seconds more, or to the next signal, after that."""
+        self.reloads += 1
+        for _ in range(UNREADABLE):
+            if self._reloaded() is None:
+                return
+            gevent.sleep(0.1)
+        why = self._reloaded()
+        if why is not None:
+            self.log.error(
+                "configuration_refused",
+                why=why,
+                mend="the old one stays; mend the file within %d s, or signal again" % SLOWLY_WRITTEN,
+            )
+            gevent.spawn(self._reload_later, self.reloads)
+
+    def _reload_later(self, reload):
+        until = clock.now() + SLOWLY_WRITTEN * 1_000_000
+        while clock.now() < until:
+            gevent.sleep(0.25)
+            if reload != self.reloads or self._reloaded() is None:
+                return
+
+    def _reloaded(self):
+        """Why the file can't be used; None if it is."""
+        try:
+            settings, _ = self._read()
+            told.from_nested(settings.settings)
+        except (codec.Unreadable, told.Unreadable, OSError) as why:
+            return str(why)
         self.counters["reloaded"] += 1
         self.log.info("reloaded", discovery=settings.discovery)
         self.watch.move(codec.address(settings.discovery, "$.discovery"))
+        return None
 
     def stop(self):
         """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the
--- a/martenrouter/state/ledger.py
+++ b/martenrouter/state/ledger.py
@@ -31,7 +31,8 @@
         try:
             if not read_only:
                 os.makedirs(path, exist_ok=True)
-            self._env = lmdb.open(path, map_size=MAP_SIZE, max_dbs=0, readonly=read_only)
+            self._read_only = read_only
+            self._open()
             with self._env.begin() as txn:
                 told = txn.get(b"mformat")
             if told is None and not read_only:
@@ -51,6 +52,19 @@
                 )
         self.last = self._last()
 
+    def _open(self):
+        self._env = lmdb.open(self.path, map_size=MAP_SIZE, max_dbs=0, readonly=self._read_only)
+
+    def _writing(self):
+        """A write transaction. After a failed write of its root page LMDB refuses all others: that ends the
+        environment, not the ledger, which is as it was before that group."""
+        try:
+            return self._env.begin(write=True)
+        except lmdb.PanicError:
+            self._env.close()
+            self._open()
+            return self._env.begin(write=True)
+
     def close(self):
         self._env.close()
 
@@ -66,7 +80,7 @@
         the group is there."""
         last, count = self.last, 0
         try:
-            with self._env.begin(write=True) as txn:
+            with self._writing() as txn:
                 for entry in entries:
                     name = b"i" + entry["id"].encode()
                     if txn.get(name) is not None:
@@ -157,12 +171,12 @@
         """`told`: decisions.budgets.Budgets.export, as of entry number `at` (the last one)."""
         data = _pack({"at": self.last if at is None else at, "told": told})
         try:
-            with self._env.begin(write=True) as txn:
+            with self._writing() as txn:
                 before = txn.get(b"mcounters")
                 if before is not None:
                     txn.put(b"mcounters-before", bytes(before))
                 txn.put(b"mcounters", data)
-        except lmdb.Error as why:
+        except (lmdb.Error, OSError) as why:
             raise Unusable("%s: counters not kept: %s" % (self.path, why)) from why
 
     def counters(self):
@@ -199,7 +213,7 @@
     def repair(self):
         """Torn entries are set aside under another key, so that all else is whole; their numbers."""
         _, torn, _ = self.verify()
-        with self._env.begin(write=True) as txn:
+        with self._writing() as txn:
             for number in torn:
                 txn.put(_number(b"b", number), bytes(txn.get(_number(b"e", number))))
                 txn.delete(_number(b"e", number))
@@ -253,9 +267,9 @@
 
     def _move_cursor(self, last):
         try:
-            with self._env.begin(write=True) as txn:
+            with self._writing() as txn:
                 txn.put(b"mexported", last.to_bytes(8, "big"))
-        except lmdb.Error as why:
+        except (lmdb.Error, OSError) as why:
             raise Unusable(
                 "%s: the cursor didn't move: %s; exported again it gives the same files" % (self.path, why)
             ) from why
@@ -278,11 +292,11 @@
         if last < first:
             return 0
         try:
-            with self._env.begin(write=True) as txn:
+            with self._writing() as txn:
                 for number in range(first, last + 1):
                     txn.delete(_number(b"e", number))
                 txn.put(b"mcompacted", last.to_bytes(8, "big"))
-        except lmdb.Error as why:
+        except (lmdb.Error, OSError) as why:
             raise Unusable("%s: not compacted: %s" % (self.path, why)) from why
         return last - first + 1
 
--- a/martenrouter/state/snapshots.py
+++ b/martenrouter/state/snapshots.py
@@ -32,36 +32,48 @@
 class Snapshots:
     def __init__(self, path, front):
         self.front = front
+        self._path, self._bad = path, []  # _bad: keys to be set aside with the next save
         try:
             os.makedirs(path, exist_ok=True)
-            self._env = lmdb.open(path, map_size=MAP_SIZE, max_dbs=0, lock=True)
-            self._bad = []  # keys to be set aside with the next save
+            self._open()
         except (lmdb.Error, OSError) as why:
             raise Unusable("%s: can't be opened: %s; remove it to begin anew" % (path, why)) from why
 
+    def _open(self):
+        self._env = lmdb.open(self._path, map_size=MAP_SIZE, max_dbs=0, lock=True)
+
     def close(self):
         self._env.close()
 
     def save(self, wall, learnt):
         """None, or why it was not saved. Waits while another program writes to the store: not to be called in
-        a round."""
+        a round. The order of snapshots is that of their saves, whatever `wall` says."""
+        try:
+            try:
+                return self._save(wall, learnt)
+            except lmdb.PanicError:
+                # a failed write of the root page ends this environment, not the store
+                self._env.close()
+                self._open()
+                return self._save(wall, learnt)
+        except (lmdb.Error, OSError) as why:
+            return str(why)
+
+    def _save(self, wall, learnt):
         data = msgspec.msgpack.encode(learnt)
         told = Snapshot(VERSION, self.front, wall, zlib.crc32(data), data)
-        try:
-            with self._env.begin(write=True) as txn:
-                for key in self._bad:
-                    value = txn.get(key)
-                    if value is not None:
-                        txn.put(key.replace(b"snap:", b"bad:"), bytes(value))
-                        txn.delete(key)
-                txn.put(b"snap:%020d" % wall, msgspec.msgpack.encode(told))
-                keys = [key for key, _ in txn.cursor().iternext(values=True) if key.startswith(b"snap:")]
-                for key in keys[:-KEPT]:
+        with self._env.begin(write=True) as txn:
+            for key in self._bad:
+                value = txn.get(key)
+                if value is not None:
+                    txn.put(key.replace(b"snap:", b"bad:"), bytes(value))
                     txn.delete(key)
-            self._bad = []
-        except lmdb.Error as why:
-            return str(why)
-        return None
+            keys = [key for key, _ in txn.cursor().iternext(values=True) if key.startswith(b"snap:")]
+            last = int(keys[-1].partition(b":")[2]) if keys else 0
+            txn.put(b"snap:%020d" % max(wall, last + 1), msgspec.msgpack.encode(told))
+            for key in keys[: -(KEPT - 1)]:
+                txn.delete(key)
+        self._bad = []
 
     def newest(self):
         """(wall, learnt, words about what is set aside); (0, None, …) without a whole one. Only reads, so
