--- a/tests/sockets/test_system_calls.py
+++ b/tests/sockets/test_system_calls.py
@@ -170,3 +170,14 @@
                 self.assertEqual([rig.node.desk.front.engines[id].failed for id in "rw"], [0, 0])
                 self.assertEqual(rig.ask("b" * 16)[0], 200)
                 rig.close()
+
+
+class Starting(Case):
+    def test_a_configuration_that_cannot_be_read_for_a_moment_is_read_a_moment_later(self):
+        for number in (errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM):
+            with self.subTest(error=errno.errorcode[number]):
+                call = failing(open, [number] * 3)
+                with mock.patch("martenrouter.node.life.open", call, create=True):
+                    rig = self.pair()
+                self.assertEqual(rig.ask()[0], 200)
+                rig.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,3 +1,4 @@
+import itertools
 import unittest
 from collections import Counter
 from unittest import mock
@@ -40,6 +41,17 @@
         self.assertEqual(rig.play(after=180_000).all("forward"), [(2, "w1", 0)])
 
 
+class Draws(unittest.TestCase):
+    def test_fronts_of_like_seeds_draw_independently(self):
+        """A linear function of seed and count makes two fronts differ by the same bits in each draw."""
+        fronts = [Front(seed, SETTINGS) for seed in (1000, 1001, 1002, 1010)]
+        draws = [[int(front.chance() * 2**32) for _ in range(90)] for front in fronts]
+        for one, other in itertools.combinations(draws, 2):
+            self.assertGreater(len({a ^ b for a, b in zip(one[10:], other[10:])}), 70)
+        for one in draws:
+            self.assertTrue(0.3 < sum(one) / len(one) / 2**32 < 0.7)
+
+
 class Rules(unittest.TestCase):
     def test_answer_before_the_deadline_and_nothing_pinned(self):
         rig = Rig([row("r1", "rd")])
