Independent draws, a record that outlives its disk, a start that outlives a failed read

The record drops lines that a disk does not take, counts them, and removes a torn one before the next.

--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -2,6 +2,7 @@
 SIGTERM."""
 
 import collections
+import errno
 import os
 import signal
 import zlib
@@ -35,22 +36,29 @@
 COME_BACK = (
     1_000_000  # microseconds that what is turned away over a bound is told, where the settings allow it
 )
+READ_AGAIN = 20  # looks at the configuration at the start, 0.1 s apart, while the system fails
+FAILS_FOR_A_MOMENT = {errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN}
 UNREADABLE = 5  # looks at a new configuration that can't be read, 0.1 s apart, before that is said
 SLOWLY_WRITTEN = 10  # seconds for which it is looked at after that
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
+def _seed(settings):
+    """Of the configured text and the node's name: nodes that are given one seed draw apart all the same."""
+    return zlib.crc32(("%s %s" % (settings.seed, settings.name)).encode())
+
+
 class Node(Hands):
     def __init__(self, path, log):
         """Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and
         the mend."""
         self.path = path
-        settings, known = self._read()
+        settings, known = self._first_read()
         plain = told.from_nested(settings.settings)
         super().__init__(plain, collections.Counter(), log)
         self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
         self.starts, self.drains = ServerStarts(clock.now(), clock.wall()), Drains()
-        self.desk = Desk(Front(zlib.crc32(settings.seed.encode()), plain), self, log)
+        self.desk = Desk(Front(_seed(settings), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
         kept = int(sockets * KEPT)
@@ -85,6 +93,18 @@
         self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
         self.listed(known, "first")
 
+    def _first_read(self):
+        """As `_read`; the disk or the table of open files may fail for a moment, and a start is not given up
+        for that."""
+        for _ in range(READ_AGAIN):
+            try:
+                return self._read()
+            except OSError as why:
+                if why.errno not in FAILS_FOR_A_MOMENT:
+                    raise
+            gevent.sleep(0.1)
+        return self._read()
+
     def _read(self):
         with open(self.path, "rb") as file:
             return codec.configuration(file.read())
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -10,7 +10,6 @@
 from hashlib import blake2b
 from math import exp, log2
 from statistics import median
-from zlib import crc32
 
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
@@ -515,8 +514,10 @@
         return total.read(self.now) / max(count.read(self.now), 1e-9)
 
     def chance(self):
+        """From 0 to 1, of seed and count alone; independent of what fronts of other seeds draw."""
         self.draws += 1
-        return crc32(b"%d %d" % (self.seed, self.draws)) / 2**32
+        told = b"%d %d" % (self.seed, self.draws)
+        return int.from_bytes(blake2b(told, digest_size=4).digest(), "big") / 2**32
 
     @once_a_round
     def held_usually(self, cell):
--- a/martenrouter/state/records.py
+++ b/martenrouter/state/records.py
@@ -10,20 +10,50 @@
 
 import msgspec
 
+BLOCK = 64 * 1024  # bytes read at a time in looking for the last line's end
+
 _encode = msgspec.json.Encoder().encode
 
 
 class Recorder:
+    """A disk that fails costs lines of the record and nothing else; `lost` counts them."""
+
     def __init__(self, directory, who):
         os.makedirs(directory, exist_ok=True)
-        self.who = who
+        self.who, self.lost = who, 0
         path = os.path.join(directory, "%s.jsonl" % who)
-        self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o644)
+        self._whole = _whole_lines(self._file)  # bytes up to the last line's end
+        self._torn = True  # whether something may stand behind them
 
     def __call__(self, ev, **fields):
         fields["t"], fields["wall"] = time.monotonic_ns() // 1000, time.time_ns() // 1000
         fields["who"], fields["ev"] = self.who, ev
-        os.write(self._file, _encode(fields) + b"\n")
+        line = _encode(fields) + b"\n"
+        try:
+            if self._torn:
+                os.ftruncate(self._file, self._whole)
+            self._torn = True
+            written = os.write(self._file, line)
+        except OSError:
+            written = 0
+        if written == len(line):
+            self._torn = False
+            self._whole += written
+        else:
+            self.lost += 1
+
+
+def _whole_lines(file):
+    """Bytes of the file up to the end of its last whole line; a kill may have cut off the one behind it."""
+    size = os.fstat(file).st_size
+    while size:
+        begin = max(size - BLOCK, 0)
+        end = os.pread(file, size - begin, begin).rfind(b"\n")
+        if end >= 0:
+            return begin + end + 1
+        size = begin
+    return 0
 
 
 def nothing(ev, **fields):
