A connection behind a waiting state ends in time for a hold-up; attempts are freed by count

Change: a connection behind a state may take until 80 ms over the state's limit, and no longer than the settings' time-out: with 0.15 s of hold-up it ends within the 300 ms that sockets have more. What the guard counts as held follows the calls that arrived.

--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -17,6 +17,10 @@
 TOLD_WITHIN = (
     100_000  # microseconds from telling an engine what is left to the request's last byte: 0.15 s are allowed
 )
+# microseconds beyond a state's limit in which a connection to its writer may still come up: of the 300 ms
+# that sockets have more, 150 are for a process that is held up
+CONNECTS_OVER = 80_000
+CONNECTS_AT_LEAST = 20_000  # microseconds: what usual connections need
 # microseconds: the answer of a machine that knows nothing of a connection comes within a round trip
 AT_ONCE = 10_000
 # seconds for one try: of the 300 ms in which a state has to go, and the 300 ms that sockets have more, two
@@ -54,8 +58,7 @@
     def __init__(self, kept, connect_within, release_within, counters, log):
         """`connect_within`, `release_within`: microseconds, as the settings have them."""
         super().__init__(kept, connect_within, counters)
-        # the state waits at its reader for as long as its writer is being connected to: no longer than it may
-        self.take_within = min(connect_within, release_within) / 1e6
+        self.release_within = release_within
         self.log, self.out, self.letting_go = log, {}, 0
 
     def start(self, forward, hear):
@@ -70,9 +73,7 @@
         connection, clean, note = None, False, 0
         try:
             with gevent.Timeout(max(f.until - clock.now(), 1) / 1e6) as patience:
-                connection = f.connection = self._connect(
-                    f.engine, within=self.take_within if f.req.holds else None
-                )
+                connection = f.connection = self._connect(f.engine, within=self._connect_limit(f.req))
                 # connecting took time: the req may be over, its engine may drain by now, and a send counts
                 # from its first byte
                 if hear.may_still_send(f):
@@ -104,6 +105,14 @@
             self._close(self.kept.give(connection.given, f.engine, connection))
         hear.ended(f, ending, note)
 
+    def _connect_limit(self, req):
+        """Seconds for a connection: a state behind it waits for as long as that takes, and no longer than a
+        little over its limit."""
+        if not req.holds or req.held_since is None:
+            return self.connect_within
+        left = req.held_since + self.release_within + CONNECTS_OVER - clock.now()
+        return min(self.connect_within, max(left, CONNECTS_AT_LEAST) / 1e6)
+
     def _talk(self, f, connection, hear, patience):
         host = "%s:%d" % self.addresses.get(f.engine, ("gone", 0))
         told_at = clock.now()
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -244,11 +244,10 @@
             r.held_since = clock.now() if r.holds else None
             r.doubtful = r.doubtful or ending not in LEAVES_NOTHING
         elif ending == "full" and note == 1:
-            r.holds, r.held_since, r.doubtful = (
-                False,
-                None,
-                True,
-            )  # its reader may only be cut off from that writer, and hold the state all the same
+            # its reader may only be cut off from that writer, and hold the state all the same
+            r.holds, r.held_since, r.doubtful = False, None, True
+        elif r.held_since is not None and self._counts(f, ending):
+            r.held_since = clock.now()  # the state has been waited for, and waits anew
         if (
             not f.reads
             and ending not in LEAVES_NOTHING
@@ -262,6 +261,12 @@
             self._clear(r, LATER_AND_AGAIN)
         self._forget(r)
 
+    @staticmethod
+    def _counts(f, ending):
+        """Whether a call has reached a running server as far as is known, answered or not."""
+        arrived = f.written is not None and f.arrived is not False
+        return arrived and ending not in ("unreachable", "not sent")
+
     def _clear(self, r, after, first=None):
         """Guards against a call that comes before its engine has seen a connection close: a forward that
         seems to be out keeps its state from being let go, and a read may end well just then. So it is made
@@ -352,6 +357,7 @@
                 del self.reqs[r.id]
             # they hold each other, and the request's body: freed by count, as the collector seldom looks
             r.streams = None
+            r.may_have_run.clear()
 
     def _others(self):
         """Engines that run as far as is known, those first that have a connection to spare."""
