--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -2,6 +2,7 @@
 SIGTERM."""
 
 import collections
+import errno
 import os
 import signal
 import zlib
@@ -35,21 +36,29 @@
 COME_BACK = (
     1_000_000  # microseconds that what is turned away over a bound is told, where the settings allow it
 )
-UNREADABLE = 5  # further looks at a new configuration that can't be read, 0.1 s apart: it may be half written
+READ_AGAIN = 20  # looks at the configuration at the start, 0.1 s apart, while the system fails
+FAILS_FOR_A_MOMENT = {errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN}
+UNREADABLE = 5  # looks at a new configuration that can't be read, 0.1 s apart, before that is said
+SLOWLY_WRITTEN = 10  # seconds for which it is looked at after that
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
+def _seed(settings):
+    """Of the configured text and the node's name: nodes that are given one seed draw apart all the same."""
+    return zlib.crc32(("%s %s" % (settings.seed, settings.name)).encode())
+
+
 class Node(Hands):
     def __init__(self, path, log):
         """Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and
         the mend."""
         self.path = path
-        settings, known = self._read()
+        settings, known = self._first_read()
         plain = told.from_nested(settings.settings)
         super().__init__(plain, collections.Counter(), log)
         self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
         self.starts, self.drains = ServerStarts(clock.now(), clock.wall()), Drains()
-        self.desk = Desk(Front(zlib.crc32(settings.seed.encode()), plain), self, log)
+        self.desk = Desk(Front(_seed(settings), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
         kept = int(sockets * KEPT)
@@ -81,9 +90,21 @@
             log,
             lambda: self.starts.heard(clock.now()),
         )
-        self.done = Event()
+        self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
         self.listed(known, "first")
 
+    def _first_read(self):
+        """As `_read`; the disk or the table of open files may fail for a moment, and a start is not given up
+        for that."""
+        for _ in range(READ_AGAIN):
+            try:
+                return self._read()
+            except OSError as why:
+                if why.errno not in FAILS_FOR_A_MOMENT:
+                    raise
+            gevent.sleep(0.1)
+        return self._read()
+
     def _read(self):
         with open(self.path, "rb") as file:
             return codec.configuration(file.read())
@@ -104,10 +125,12 @@
             moved[member.id] = member.host_port if row[0] != "gone" else None
             self.kinds[member.id] = member.flavor
             self.phases[member.id] = row[0]
+            self.guard.places[member.id] = row[2], row[4]
         for id, address in moved.items():
             if address is None:
                 self.phases.pop(id, None)
                 self.kinds.pop(id, None)
+                self.guard.places.pop(id, None)
         self.engines.moved(moved)
         self.desk.post("listed", message.revision, scope, rows)
         self.log.info(
@@ -174,24 +197,40 @@
 
     def reload(self):
         """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes
-        nothing; as it may be half written just now, it is looked at again for half a second."""
-        for left in reversed(range(UNREADABLE + 1)):
-            try:
-                settings, _ = self._read()
-                told.from_nested(settings.settings)
-                break
-            except (codec.Unreadable, told.Unreadable, OSError) as why:
-                if not left:
-                    self.log.error(
-                        "configuration_refused",
-                        why=str(why),
-                        mend="the old one stays; mend the file and signal again",
-                    )
-                    return
-                gevent.sleep(0.1)
+        nothing. As it may be half written just now, it is looked at again: for half a second before that is
+        said, and for some seconds more, or to the next signal, after that."""
+        self.reloads += 1
+        for _ in range(UNREADABLE):
+            if self._reloaded() is None:
+                return
+            gevent.sleep(0.1)
+        why = self._reloaded()
+        if why is not None:
+            self.log.error(
+                "configuration_refused",
+                why=why,
+                mend="the old one stays; mend the file within %d s, or signal again" % SLOWLY_WRITTEN,
+            )
+            gevent.spawn(self._reload_later, self.reloads)
+
+    def _reload_later(self, reload):
+        until = clock.now() + SLOWLY_WRITTEN * 1_000_000
+        while clock.now() < until:
+            gevent.sleep(0.25)
+            if reload != self.reloads or self._reloaded() is None:
+                return
+
+    def _reloaded(self):
+        """Why the file can't be used; None if it is."""
+        try:
+            settings, _ = self._read()
+            told.from_nested(settings.settings)
+        except (codec.Unreadable, told.Unreadable, OSError) as why:
+            return str(why)
         self.counters["reloaded"] += 1
         self.log.info("reloaded", discovery=settings.discovery)
         self.watch.move(codec.address(settings.discovery, "$.discovery"))
+        return None
 
     def stop(self):
         """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the
