--- a/martenrouter/node/server_starts.py
+++ b/martenrouter/node/server_starts.py
@@ -24,9 +24,6 @@
     def take(self, told, now):
         """{server's id: when it started, None for long ago} of a message; `told`: {id: milliseconds since the
         Unix epoch, 0 for long ago}."""
-        newest = max(told.values(), default=0) * 1000
-        # a start that lies in the future shows that this process's clock is behind by so much at least
-        self._offset = max(self._offset, newest - now)
         starts = {id: self._start(id, since, now) for id, since in told.items()}
         while len(self._starts) > REMEMBERED:
             del self._starts[next(iter(self._starts))]
@@ -40,6 +37,6 @@
         if known is not None and known[0] == since:
             start = known[1]
         else:
-            start = max(since * 1000 - self._offset, self._heard or 0, 1)
+            start = max(min(since * 1000 - self._offset, now), self._heard or 0, 1)
         self._starts[id] = since, start
         return start
