--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -86,6 +86,32 @@
             self._end(pair)
 
 
+class Echo:
+    """A server that gives back what it gets."""
+
+    def __init__(self):
+        self.server = StreamServer(("127.0.0.1", 0), self._accepted)
+        self.server.start()
+
+    @staticmethod
+    def _accepted(sock, _):
+        try:
+            sock.sendall(sock.recv(64))
+        except OSError:
+            pass  # its peer has gone
+        sock.close()
+
+    @staticmethod
+    def round_trip(port):
+        """Raises OSError."""
+        sock = socket.create_connection(("127.0.0.1", port))
+        try:
+            sock.sendall(b"probe")
+            sock.recv(64)
+        finally:
+            sock.close()
+
+
 class Node:
     """One front node: its process, configuration, agent, and what happened to it."""
 
