Failing tests: stores that can't be opened at the first try

Seen: where the environment can't be opened anew just then either, the ledger works on a closed one and raises LMDB's own errors (compact's would end the greenlet that looks after budgets); a planner whose store can't be opened at its start never tries again.

--- a/tests/test_background_and_snapshots.py
+++ b/tests/test_background_and_snapshots.py
@@ -1,6 +1,7 @@
 import os
 import tempfile
 import unittest
+from unittest import mock
 
 import msgspec
 from hypothesis import given
@@ -9,6 +10,7 @@
 
 from martenrouter.decisions.background import Background
 from martenrouter.decisions.learnt import export, put, shifted
+from martenrouter.planner.serve import SNAPSHOT_EACH, Planner
 from martenrouter.rules import Front
 from martenrouter.state.snapshots import KEPT, Snapshots, Unusable
 from tests.helpers import SETTINGS, Rig, Seen
@@ -113,6 +115,18 @@
             self.assertIsNone(store.save(wall * 10**9, {"n": wall}))
             self.assertEqual(store.newest(), (wall * 10**9, {"n": wall}, []))
 
+    def test_a_planner_whose_store_can_not_be_opened_at_first_opens_it_later(self):
+        path = os.path.join(self.dir.name, "full")
+        planner = Planner("nowhere", mock.Mock(), store=path)
+        with mock.patch("martenrouter.planner.serve.Snapshots", side_effect=Unusable("no space")):
+            planner.open_store("f", now=1_000_000)
+            planner.open_store("f", now=2_000_000)
+        self.assertIsNone(planner.snapshots)
+        planner.open_store("f", now=1_000_000 + SNAPSHOT_EACH)
+        self.addCleanup(planner.snapshots.close)
+        self.assertIsNone(planner.snapshots.save(1, {"n": 1}))
+        self.assertEqual(planner.log.warning.call_count, 1)
+
     def test_what_was_learnt_survives_another_clock(self):
         rig = Rig(ROWS)
         for i in range(8):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import unittest
+from unittest import mock
 
 import lmdb
 from hypothesis import settings
@@ -152,6 +153,28 @@
         self.assertIsNone(store.save(1, {"n": 1}))
         self.assertEqual(store.newest(), (1, {"n": 1}, []))
 
+    def test_a_store_that_can_not_be_opened_anew_at_once_is_opened_later(self):
+        ledger = self.ledger()
+        ledger.append([entry(1)])
+        store = Snapshots(os.path.join(self.dir, "snapshots"), "f")
+        self.addCleanup(store.close)
+        for one in (ledger, store):
+            one._env = Panicked(one._env)
+        with mock.patch.object(lmdb, "open", side_effect=lmdb.DiskError("EIO")):
+            for _ in range(2):
+                with self.assertRaises(Unusable):
+                    ledger.append([entry(2)])
+                with self.assertRaises(Unusable):
+                    ledger.keep_counters({"n": 1})
+                with self.assertRaises(Unusable):
+                    ledger.compact(0)
+                self.assertIn("EIO", store.save(1, {"n": 1}))
+                self.assertEqual(store.newest()[:2], (0, None))
+        self.assertEqual(ledger.append([entry(2)]), 1)
+        self.assertIsNone(store.save(2, {"n": 2}))
+        self.assertEqual([one["id"] for one in ledger.entries(1)], ["f-1", "f-2"])
+        self.assertEqual(store.newest()[1], {"n": 2})
+
     def test_torn_entries_are_named_set_aside_and_all_else_is_whole(self):
         ledger = self.ledger()
         ledger.append([entry(i) for i in range(1, 21)])
