--- a/martenrouter/planner/serve.py
+++ b/martenrouter/planner/serve.py
@@ -42,6 +42,7 @@
         None."""
         self.store, self.snapshots, self.writer, self.background = store, None, None, None
         self.writer_at, self.writer_told = 0, False
+        self.store_of, self.store_again_at = None, 0  # the front it belongs to; when it is tried again
         self.path, self.log, self.name, self.slow = path, log, name or "planner-%d" % os.getpid(), slow
         self.random = random.Random(os.getpid())
 
@@ -70,7 +71,7 @@
             for message in frames.feed(data):
                 if isinstance(message, channel.Welcome):
                     welcome = message
-                    self._open_store(welcome.front)
+                    self.store_of = welcome.front
                     self.log.info("welcome", front=message.front)
                 elif isinstance(message, channel.Refused):
                     if "version" in message.reason:
@@ -78,6 +79,7 @@
                     raise OSError(message.reason)
                 elif isinstance(message, channel.Handover):
                     chain, epoch = Chain(welcome.seed, welcome.module, welcome.chain), message.epoch
+                    self.open_store(self.store_of, message.now)
                     learnt = message.learnt or self._newest(message.now)
                     chain.adopt(message.now, message.facts, learnt)
                     self.background = Background(message.now)
@@ -96,14 +98,16 @@
 
     # ---- what can wait ----
 
-    def _open_store(self, front):
-        if self.store is None or self.snapshots is not None:
+    def open_store(self, front, now):
+        """Unless it is open; what can't be opened is tried again each SNAPSHOT_EACH, and said once."""
+        if self.store is None or self.snapshots is not None or now < self.store_again_at:
             return
         try:
             self.snapshots = Snapshots(os.path.join(self.store, front), front)
         except Unusable as why:
-            self.log.warning("snapshots_unusable", why=str(why))
-            self.store = None
+            if not self.store_again_at:
+                self.log.warning("snapshots_unusable", why=str(why))
+            self.store_again_at = now + SNAPSHOT_EACH
 
     def _newest(self, now):
         """What was learnt before this front was started, moved to its clock; old parts are not believed (see
@@ -121,6 +125,7 @@
     def _between(self, chain, now):
         """A slice of background work, when its budget allows: the export here, the disk in a thread of its
         own."""
+        self.open_store(self.store_of, now)
         name = self.background.pick(now) if self.snapshots is not None else None
         if name is None:
             return
--- a/martenrouter/state/ledger.py
+++ b/martenrouter/state/ledger.py
@@ -32,6 +32,7 @@
             if not read_only:
                 os.makedirs(path, exist_ok=True)
             self._read_only = read_only
+            self._ended = False  # whether its environment was, and could not be opened anew yet
             self._open()
             with self._env.begin() as txn:
                 told = txn.get(b"mformat")
@@ -57,13 +58,16 @@
 
     def _writing(self):
         """A write transaction. After a failed write of its root page LMDB refuses all others: that ends the
-        environment, not the ledger, which is as it was before that group."""
-        try:
-            return self._env.begin(write=True)
-        except lmdb.PanicError:
-            self._env.close()
-            self._open()
-            return self._env.begin(write=True)
+        environment, not the ledger, which is as it was before that group. Raises lmdb.Error, OSError."""
+        if not self._ended:
+            try:
+                return self._env.begin(write=True)
+            except lmdb.PanicError:
+                self._ended = True
+                self._env.close()
+        self._open()
+        self._ended = False
+        return self._env.begin(write=True)
 
     def close(self):
         self._env.close()
@@ -284,14 +288,14 @@
         """Removes up to `most` of the oldest entries that were exported, that the counters hold, and that are
         older than the last `keep`. Their identities stay, so that a repeat is still known. Returns how many;
         0 when there is nothing to do."""
-        at, _ = self.counters()
-        until = min(self.cursor(), at, self.last - keep)
-        with self._env.begin() as txn:
-            first = self._compacted(txn) + 1
-        last = min(until, first + most - 1)
-        if last < first:
-            return 0
         try:
+            at, _ = self.counters()
+            until = min(self.cursor(), at, self.last - keep)
+            with self._env.begin() as txn:
+                first = self._compacted(txn) + 1
+            last = min(until, first + most - 1)
+            if last < first:
+                return 0
             with self._writing() as txn:
                 for number in range(first, last + 1):
                     txn.delete(_number(b"e", number))
--- a/martenrouter/state/snapshots.py
+++ b/martenrouter/state/snapshots.py
@@ -33,6 +33,7 @@
     def __init__(self, path, front):
         self.front = front
         self._path, self._bad = path, []  # _bad: keys to be set aside with the next save
+        self._ended = False  # whether its environment was, and could not be opened anew yet
         try:
             os.makedirs(path, exist_ok=True)
             self._open()
@@ -49,13 +50,16 @@
         """None, or why it was not saved. Waits while another program writes to the store: not to be called in
         a round. The order of snapshots is that of their saves, whatever `wall` says."""
         try:
-            try:
-                return self._save(wall, learnt)
-            except lmdb.PanicError:
-                # a failed write of the root page ends this environment, not the store
-                self._env.close()
-                self._open()
-                return self._save(wall, learnt)
+            if not self._ended:
+                try:
+                    return self._save(wall, learnt)
+                except lmdb.PanicError:
+                    # a failed write of the root page ends this environment, not the store
+                    self._ended = True
+                    self._env.close()
+            self._open()
+            self._ended = False
+            return self._save(wall, learnt)
         except (lmdb.Error, OSError) as why:
             return str(why)
 
@@ -80,8 +84,13 @@
         that a store which another program holds locked doesn't keep a planner from deciding; what is set
         aside moves with the next save."""
         words = []
-        with self._env.begin() as txn:
-            found = [(bytes(key), bytes(value)) for key, value in txn.cursor() if key.startswith(b"snap:")]
+        try:
+            with self._env.begin() as txn:
+                found = [
+                    (bytes(key), bytes(value)) for key, value in txn.cursor() if key.startswith(b"snap:")
+                ]
+        except (lmdb.Error, OSError) as why:
+            return 0, None, ["nothing can be read: %s" % why]
         for key, value in reversed(found):
             if key in self._bad:
                 continue
