--- a/tests/sockets/test_system_calls.py
+++ b/tests/sockets/test_system_calls.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent import socket as gevent_socket
 
-from tests.sockets.node_rig import Engine, Rig
+from tests.sockets.node_rig import SETTINGS, Engine, Rig
 
 
 def failing(call, errors):
@@ -95,6 +95,28 @@
         gevent.spawn(rig.node.door.stop_listening)
         self.assertEqual([client.answer()[0] for client in clients], [200] * 40)
 
+    def test_a_stop_does_not_end_while_some_wait_that_can_not_be_taken_yet(self):
+        rig = self.pair(**{"family-info": {**SETTINGS["family-info"], "resume": False}})
+        short = [True]
+        server = rig.node.door.server
+        accept = server.socket._accept
+
+        def fails_for_a_while():
+            if short:
+                raise OSError(errno.ENFILE, os.strerror(errno.ENFILE))
+            return accept()
+
+        server.socket = FailingListener(server.socket, [])
+        server.socket._accept = fails_for_a_while
+        rig.until(lambda: server._watcher is not None)
+        client = rig.client().ask()
+        stop = gevent.spawn(rig.node.stop)
+        gevent.sleep(1.5)
+        self.assertFalse(stop.ready())
+        short.clear()
+        self.assertEqual(client.answer()[0], 200)
+        stop.get(timeout=3)
+
     def test_accepting_goes_on_at_once_after_calls_that_fail(self):
         rig = self.pair()
         errors = (
