--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -120,6 +120,7 @@
         self.bytes_limit = bytes_limit
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
         self.conns, self.begun, self.listens = {}, False, False
+        self.empties = False  # whether some may still wait to be taken, of which none comes any more
         self.stopping = self.leaving = False  # not ready any more; connections end with their answers
         self.turns = LoopTurns()
         self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed)
@@ -134,7 +135,7 @@
         """What the system has accepted already is taken first: a close over it would reset reqs that their
         clients have sent."""
         if self.listens:
-            self.listens = False
+            self.listens, self.empties = False, True
             gevent.spawn(self._take_all_and_close)
 
     def _take_all_and_close(self):
@@ -150,6 +151,7 @@
             else:
                 break
         self.server.close()
+        self.empties = False
 
     def _accept_failed(self, why):
         self.counters["accept_failed"] += 1
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -250,7 +250,7 @@
         # the end comes when no connection is left, however long that takes: what the kill cuts of what came
         # in time is not lost, what this process cuts by ending is; and a req may come on any connection that
         # is open
-        while self.busy() or gone <= line.kept or self.door.conns:
+        while self.busy() or gone <= line.kept or self.door.conns or self.door.empties:
             gone = clock.now() - begun
             try:
                 self._go_on_stopping(line, begun, gone)
