--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -57,7 +57,8 @@
         plain = told.from_nested(settings.settings)
         super().__init__(plain, collections.Counter(), log)
         self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
-        self.starts, self.drains = ServerStarts(clock.now(), clock.wall()), Drains()
+        self.starts = ServerStarts(clock.now(), clock.wall(), plain.get("warm_within", 0))
+        self.drains = Drains()
         self.desk = Desk(Front(_seed(settings), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -389,6 +389,24 @@
         self.assertEqual(starts.take({"f": 26_000}, now=12_000_000), {"f": 10_000_000})
         self.assertEqual(starts.take({"s": 0}, now=13_500_000), {"s": None})
 
+    def test_the_youngest_of_the_first_list_may_have_started_just_now_where_they_are_few(self):
+        def first(*messages):
+            starts, now = ServerStarts(now=10_000_000, wall=3_610_000_000, warm_within=8_000_000), 20_000_000
+            return [starts.take(told, now) for told in messages][-1]
+
+        old, new = (
+            3_500_000,
+            3_599_000,
+        )  # milliseconds: 110 s before the process's start by its clock, and 11 s
+        both = {"a": new, "b": new - 7000, "c": old, "d": 0}
+        self.assertEqual(first(both), {"a": 20_000_000, "b": 13_000_000, "c": 1, "d": None})
+        # what was known counts to all; most of a fleet is not taken for cold
+        self.assertEqual(first({"c": old, "d": 0}, {"a": new}), {"a": 20_000_000})
+        self.assertEqual(first({"a": new, "b": new, "c": old}), {"a": 1, "b": 1, "c": 1})
+        starts = ServerStarts(now=10_000_000, wall=3_610_000_000, warm_within=8_000_000)
+        starts.heard(11_000_000)
+        self.assertEqual(starts.take(both, 12_000_000)["c"], 11_000_000)
+
     def test_objects_on_one_line_or_indented_and_what_is_cut_off(self):
         # the standing test's page lets lists come indented: a line is not an object then, and braces in names
         # are none
