--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -54,6 +54,7 @@
 # nothing to hold a connection with just now: those that wait are taken when there is
 SHORT_OF_RESOURCES = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 FAILED_AT_ONCE = 1024  # connections that fail in one turn, the length of the queue: others get theirs then
+ACCEPT_LOGGED_EACH = 1_000_000  # microseconds between log lines of failed accepts; all are counted
 SHORT_WAIT = 0.01  # seconds between tries to take what waits when no more will be taken later
 
 
@@ -120,6 +121,7 @@
         self.bytes_limit = bytes_limit
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
         self.conns, self.begun, self.listens = {}, False, False
+        self.accept_logged = -ACCEPT_LOGGED_EACH  # when a failed accept was last logged
         self.empties = False  # whether some may still wait to be taken, of which none comes any more
         self.stopping = self.leaving = False  # not ready any more; connections end with their answers
         self.turns = LoopTurns()
@@ -159,7 +161,7 @@
             "accept_failed", error=errno.errorcode.get(why.errno, str(why)), open=len(self.conns)
         )
         if why.errno in SHORT_OF_RESOURCES:
-            self._make_room(clock.now())
+            self._make_room(now)
 
     def ready(self):
         return self.begun and not self.stopping
