--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -156,10 +156,12 @@
         self.empties = False
 
     def _accept_failed(self, why):
+        now = clock.now()
         self.counters["accept_failed"] += 1
-        self.log.warning(
-            "accept_failed", error=errno.errorcode.get(why.errno, str(why)), open=len(self.conns)
-        )
+        if now >= self.accept_logged + ACCEPT_LOGGED_EACH:
+            self.accept_logged = now
+            name = errno.errorcode.get(why.errno, str(why))
+            self.log.warning("accept_failed", error=name, open=len(self.conns))
         if why.errno in SHORT_OF_RESOURCES:
             self._make_room(now)
 
