--- a/tests/sockets/test_conversations.py
+++ b/tests/sockets/test_conversations.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from martenrouter.edge import clock
 from martenrouter.wire import http, jsonrpc
 from tests.sockets.rig import Engine, Rig, ending
 
@@ -219,12 +220,12 @@
         )
 
     def test_the_writer_is_found_slow_in_the_pause(self):
-        """Its health is set as a row of failures would; the state is fetched from it by another writer."""
+        """It is told to have failed three times; the state is fetched from it by another writer."""
         rig = self.rig(*self.writers())
 
         def condemn(rig):
             condemn.first = self.first_writer(rig)
-            rig.front.desk.chain.front.engines[condemn.first.id].failed = 3
+            rig.front.desk.chain.front.engines[condemn.first.id].fail(clock.now(), 3)
 
         answer, came = self.answer_when(rig, condemn)
         self.assertEqual((ending(answer), self.tokens(came)), ("done", ["so ", "a", "b", "c"]))
