--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -57,7 +57,8 @@
         plain = told.from_nested(settings.settings)
         super().__init__(plain, collections.Counter(), log)
         self.name, self.listen = settings.name, codec.address(settings.listen, "$.listen")
-        self.starts, self.drains = ServerStarts(clock.now(), clock.wall()), Drains()
+        self.starts = ServerStarts(clock.now(), clock.wall(), plain.get("warm_within", 0))
+        self.drains = Drains()
         self.desk = Desk(Front(_seed(settings), plain), self, log)
         sockets = settings.limits.sockets
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
@@ -250,7 +251,7 @@
         # the end comes when no connection is left, however long that takes: what the kill cuts of what came
         # in time is not lost, what this process cuts by ending is; and a req may come on any connection that
         # is open
-        while self.busy() or gone <= line.kept or self.door.conns:
+        while self.busy() or gone <= line.kept or self.door.conns or self.door.empties:
             gone = clock.now() - begun
             try:
                 self._go_on_stopping(line, begun, gone)
