Ties among equal decode servers are drawn as before; slow start alone draws independently

Cause: linear draws spread ties evenly over fronts that decide equally often, independent ones do not; what must be independent is the begin of slow start alone. Change: tie() draws as before, chance() independently.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -10,6 +10,7 @@
 from hashlib import blake2b
 from math import exp, log2
 from statistics import median
+from zlib import crc32
 
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
@@ -513,6 +514,12 @@
         total, count = self.mean_work[None if of_all else r.group.get("name")]
         return total.read(self.now) / max(count.read(self.now), 1e-9)
 
+    def tie(self):
+        """From 0 to 1, to choose among equals. Linear in seed and count: fronts that draw as often as each
+        other differ by a pattern of bits, and so spread evenly."""
+        self.draws += 1
+        return crc32(b"%d %d" % (self.seed, self.draws)) / 2**32
+
     def chance(self):
         """From 0 to 1, of seed and count alone; independent of what fronts of other seeds draw."""
         self.draws += 1
@@ -748,7 +755,7 @@
         cell = [e for e in near if e.cell == r.reader.cell]
         zone = [e for e in near if e.zone == r.reader.zone]
         near = cell or zone or [e for e in able if load[e.id] == least]
-        return min(near, key=lambda e: (load[e.id], self.chance()), default=None)  # ties: chance
+        return min(near, key=lambda e: (load[e.id], self.tie()), default=None)
 
     def set_wake(self):
         # looked after every 20 ms, and on time for the release and for the answer that is owed
