The node logs how late it is, how long rounds and lists take, and why it gives up

New: a load line each 5 s (processor time, lateness of the loop, rounds, lists, longest waits), round_slow, took on each list line, and first_attempt_after, state_waited and the policy's reason on each request's line.

--- a/martenrouter/node/desk.py
+++ b/martenrouter/node/desk.py
@@ -17,6 +17,7 @@
         self.failed = False  # whether the last round did
 
     def play(self, now, marks=()):
+        events = len(self.inbox)
         inbox = iter(self.taken() + [("timer", (mark,)) for mark in marks if mark > 0])
         try:
             self.front.turn(now, inbox, self.hands)
@@ -41,4 +42,13 @@
         ):  # what a req leaves may be let go of by what is still to be told: once, should each round fail
             self.hands.round_over()
         self.rounds += 1
-        self.slowest = max(self.slowest, clock.now() - now)
+        ended = clock.now()
+        self.slowest = max(self.slowest, ended - now)
+        self.hands.load.round(
+            ended,
+            ended - now,
+            events=events,
+            marks=len(marks),
+            open=len(self.front.live),
+            servers=len(self.front.engines),
+        )
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -11,6 +11,7 @@
 from martenrouter.edge.lines import Broke, Stopped
 from martenrouter.node.engines import Forward
 from martenrouter.node.guard import Guard
+from martenrouter.node.load import Load
 
 # A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
 # this old is spoilt
@@ -49,6 +50,9 @@
         self.may_have_run = {}  # n -> an attempt that is no read, from its first byte on; kept by the guard
         self.held_since = None  # when the read ended whose state nothing has taken or released yet
         self.history = []  # of its attempts that ended: (n, engine, ending, milliseconds)
+        self.first_attempt_after = None  # microseconds from its arrival to the decision
+        self.state_waited = None  # microseconds from its read's end to the attempt at a decode server
+        self.why = None  # why it was given up, in the policy's words
         self.over = None  # its final answer: done, pushed back, aborted, broken or gone
 
 
@@ -68,6 +72,7 @@
             None  # a planned stop: when every answer has to be out, whatever deadline its client gave
         )
         self.guard = Guard(settings, counters, log)
+        self.load = Load(log, clock.now(), LOOKS)
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = self.guard.phases, {}  # engine -> its phase and kind, as last told
 
@@ -143,6 +148,7 @@
         )
         r.used += 1
         r.forwards[f.n] = f
+        self._note_waits(r, f, now)
         self.log.debug("forward", req=id, n=f.n, engine=engine)
         if r.over or engine not in self.engines.addresses:
             return self._end(f, "not sent", 0)
@@ -150,15 +156,25 @@
             r.reader = engine
         self.engines.start(f, self)
 
+    def _note_waits(self, r, f, now):
+        if f.n == 0:
+            r.first_attempt_after = now - r.arrived
+            self.load.first_attempt(r.first_attempt_after)
+        if not f.reads and r.held_since is not None:
+            r.state_waited = now - r.held_since
+            self.load.state_waited(r.state_waited)
+
     def push_back(self, id, wait):
         r = self.reqs.get(id)
         if r and r.over is None and r.streams is None:
+            r.why = self.desk.front.given_up_for
             told = [("retry-after", "%.3f" % (math.ceil(wait / 1000) / 1000))] if wait else ()
             self._finish(r, "pushed back", 503, "pushed back: trying again is harmless", told)
 
     def abort(self, id):
         r = self.reqs.get(id)
         if r and r.over is None and r.streams is None:
+            r.why = self.desk.front.given_up_for
             self._finish(r, "aborted", 502, "aborted: it may have run")
 
     def cancel(self, id, n):
@@ -171,6 +187,8 @@
     def let_go(self, id):
         r = self.reqs.get(id)
         if r and r.reader:
+            if r.held_since is not None:
+                self.load.state_waited(clock.now() - r.held_since)
             r.holds, r.held_since = False, None
             self._clear(r, AT_ONCE_AND_AGAIN, r.reader)
 
@@ -327,7 +345,9 @@
             left=r.deadline - clock.now(),
             forwards=r.used,
             engine=r.streams.engine if r.streams else None,
-            **({} if over == "done" else {"history": r.history}),
+            first_attempt_after=r.first_attempt_after,
+            state_waited=r.state_waited,
+            **({} if over == "done" else {"why": r.why, "history": r.history}),
         )
         if r.doubtful and r.streams is None:
             self._clear(r, LATER_AND_AGAIN)
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -115,6 +115,7 @@
     def listed(self, message, scope=None):
         """What was written to this node counts as told, whatever its revision says: phases hold from here
         on."""
+        begun = clock.now()
         scope = scope or ("whole" if message.complete else "changes")
         starts = self.starts.take({m.id: m.up_since_ms for m in message.members}, clock.now())
         rows = [self._row(member, starts[member.id], message.revision) for member in message.members]
@@ -134,10 +135,13 @@
                 self.guard.places.pop(id, None)
         self.engines.moved(moved)
         self.desk.post("listed", message.revision, scope, rows)
+        took = clock.now() - begun
+        self.load.list_taken(took)
         self.log.info(
             "list",
             revision=message.revision,
             scope=scope,
+            took=took,
             rows=[(row[3], row[0], row[6]) for row in rows] if scope == "changes" else len(rows),
         )
 
@@ -186,9 +190,16 @@
 
     def _look(self):
         while True:
+            due = clock.now() + LOOKS
             gevent.sleep(LOOKS / 1e6)
             now = clock.now()
-            for look in (lambda: self.look_after(now), self.engines.sweep, lambda: self.door.sweep(now)):
+            self.load.woke(now - due)
+            for look in (
+                lambda: self.look_after(now),
+                self.engines.sweep,
+                lambda: self.door.sweep(now),
+                lambda: self.load.look(now, **self._gauges()),
+            ):
                 try:
                     look()
                 except Exception as why:
@@ -281,6 +292,16 @@
             or any(not conn.buffer.empty for conn in self.door.conns.values())
         )
 
+    def _gauges(self):
+        return {
+            "open": len(self.reqs),
+            "clients": len(self.door.conns),
+            "servers": len(self.phases),
+            "kept_connections": self.engines.kept.count,
+            "attempts_out": len(self.engines.out),
+            "releases_out": self.engines.letting_go,
+        }
+
     # ---- what is believed, beside what the sockets hold ----
 
     def beliefs(self):
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -12,6 +12,8 @@
 from statistics import median
 from zlib import crc32
 
+from martenrouter.policy.reasons import GiveUp
+
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
 FAILED = ("error", "unreachable", "reset", "full")  # endings that speak against an engine
@@ -146,6 +148,7 @@
         self.quota = {c.get("name"): c.get("quota_per_s") for c in get("customers", ())}
         self.mean_work, self.buckets, self.carried = {}, {}, {}
         self.marks = self.wake_at = self.asked = self.ask_wait = 0
+        self.given_up_for = GiveUp.OTHER  # why the request was given up that `out` is told of
 
     def turn(self, now, inbox, out):
         self.now, self.out, self.same = now, out, {}
@@ -432,8 +435,9 @@
         same = {"all": True, "zone": engine.zone == ran.zone, "cell": engine.cell == ran.cell}
         return self.repeatable(r) and same.get(r.group.get("repeat_scope"), False)
 
-    def give_up(self, r):
+    def give_up(self, r, why=GiveUp.OTHER):
         """The final answer, at once."""
+        self.given_up_for = why
         if self.harmless(r):
             wait = min(r.group.get("target", 0) // 2, self.settings.get("advice_cap", 0))  # in time
             self.out.push_back(r.id, wait if self.settings.get("may_advise") else 0)
@@ -604,7 +608,8 @@
             missed = self.now > r.target and any(not f.roomy for f in r.out.values()) and self.harmless(r)
             over = r.stage in (UNREAD, READ) and not self.repeatable(r)  # no engine may get it any more
             if self.now >= self.answer_by(r) or missed or over:
-                self.give_up(r)
+                late = GiveUp.TARGET if missed else GiveUp.NOT_REPEATABLE
+                self.give_up(r, GiveUp.DEADLINE if self.now >= self.answer_by(r) else late)
                 continue
             stuck = [f for f in r.out.values() if not (f.arrived or f.reads or f.started or f.cancelled)]
             if stuck and r.held and self.now >= self.release_at(r):
@@ -629,7 +634,7 @@
     def abandon(self, r, stuck):
         """Rule 5: forwards that have not arrived don't hold the state; it goes elsewhere, or is let go."""
         if not self.settings.get("may_cancel"):
-            return self.give_up(r)  # nothing can take their place while they are out
+            return self.give_up(r, GiveUp.SEND_NOT_ARRIVED)  # nothing can take their place meanwhile
         for f in stuck:
             f.engine.fail(self.now, 1)
             self.in_vain(f)
@@ -661,7 +666,7 @@
                 self.send(r, engine, engine.role == "read")
                 ahead += need
             elif not able or self.now + alone + queue > r.target:  # too late even with none of ours before it
-                self.give_up(r)
+                self.give_up(r, GiveUp.QUEUE if able else GiveUp.ATTEMPTS)
 
     def pick_reader(self, r):
         engines, strains = self.usable(True, r)
@@ -730,7 +735,7 @@
                 self.let_go(r)  # no way from here: read anew in another cell
                 r.stage, r.shunned = UNREAD, r.reader.cell
             elif last:
-                self.give_up(r)
+                self.give_up(r, GiveUp.ATTEMPTS if over else GiveUp.STATE_LIMIT)
 
     def answer_by(self, r):
         return r.deadline - 2 * self.round_time - 2000  # two rounds early, so that the answer is out in time
--- a/tests/test_settings_and_house.py
+++ b/tests/test_settings_and_house.py
@@ -24,7 +24,8 @@
     "settings": set(),
     "decisions": {"rules"},
     "drill": {"rules", "settings"},
-    "rules": set(),
+    "rules": {"policy"},
+    "policy": set(),
     "node": {"edge", "wire", "decisions", "settings", "rules"},
 }
 
