The policy looks at a bounded set of servers for each choice, kept as the list changes

Cause: pool, fit, usable, cold_room, reading, own_held, place_unread and the look for peers went through every server in every round, cold_room once more for each cold one, so that the loop fell seconds behind. Now pools, sums and counts are kept as the list changes; a request's candidates are at most 64 servers: those behind its prefix or session on a ring of hashes, alike at every process, for the read, and those of the state's cell and zone first for the decode. Where a pool holds no more than 64 the candidates are the whole pool, so choices there stay as they were.

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -12,11 +12,14 @@
 from statistics import median
 from zlib import crc32
 
+from martenrouter.policy.hashing import draw, point
 from martenrouter.policy.reasons import GiveUp
+from martenrouter.policy.servers import CANDIDATES, Servers
 
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
 FAILED = ("error", "unreachable", "reset", "full")  # endings that speak against an engine
+FURTHER = 3  # sets of candidates that are looked at where the first holds nobody who may be sent to
 
 
 class Sum:
@@ -76,11 +79,6 @@
         return self.rate(now) * (tokens + self.BASE)
 
 
-def draw(key, id):
-    """The engine's weight for the key, alike at every front (no crc: it is linear in the ids)."""
-    return int.from_bytes(blake2b(("%s %s" % (key, id)).encode(), digest_size=8).digest(), "big")
-
-
 def remember(where, key, value):
     where.pop(key, None)
     where[key] = value
@@ -98,6 +96,7 @@
     def __init__(self, id):
         self.id, self.up, self.role, self.memory, self.born, self.left = id, False, "", 0, 0, False
         self.cell = self.zone = None
+        self.point, self.pooled = point(id), False  # its place on the ring; whether it may be chosen
         self.waiting = {}  # forwards out that have neither started nor ended, oldest first
         self.pending = 0  # prompt tokens of those
         self.streams = 0  # tokens of this front's forwards out at a writer, started or not
@@ -141,6 +140,10 @@
         self.round_time, self.cap = get("round", 0), get("forwards_cap", 4)
         self.release_within = get("release_within", 1_000_000)
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
+        self.servers = Servers(get("writers_read", False))
+        self.place_on_ring = point(seed)  # where this process looks for decode servers: it meets them again
+        self.departed = {}  # engines that left the list, until the last forward there has ended
+        self.answered_lately = {}  # engines that answered, in the order of their last answers
         self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
         self.drained = Sum(4_000_000)  # tokens of ended answers: what makes room at the writers
         self.told, self.same = {}, {}  # reports of memory held, by cell and of all; see once_a_round
@@ -169,19 +172,54 @@
         self.ask_wait = 0
         roles = dict(zip(self.settings.get("kinds", ()), self.settings.get("role_by_kind", ())))
         memory = dict(zip(self.settings.get("kinds", ()), self.settings.get("memory_by_kind", ())))
-        named = {entry[3] for entry in entries}
         for phase, weight, zone, id, cell, kind, born in entries:
-            engine = self.engines.setdefault(id, Engine(id))
+            engine = self.engine(id)
             if (born or 0) > engine.born and phase == "up":
                 engine.forget()
-            engine.up, engine.zone, engine.cell, engine.born = phase == "up", zone, cell, born or 0
-            engine.left = phase == "gone"
-            engine.role, engine.memory = roles.get(kind, "both"), memory.get(kind, 0)
-        for id, engine in list(self.engines.items()):
-            if id not in named and scope != "changes":
-                engine.up, engine.left = False, True
-            if engine.left and not engine.waiting and engine.streams < 1:
-                del self.engines[id]  # ids come and go all day: what left is forgotten after its last forward
+            engine.born = born or 0
+            self.stands(engine, phase == "up", zone, cell, roles.get(kind, "both"), memory.get(kind, 0))
+            self.leaves(engine, phase == "gone")
+        if scope != "changes":
+            named = {entry[3] for entry in entries}
+            for engine in [engine for id, engine in self.engines.items() if id not in named]:
+                self.servers.leave(engine)
+                engine.up = False
+                self.leaves(engine, True)
+        self.forget_departed()
+
+    def engine(self, id):
+        """What is known of the engine; nothing yet where it is new."""
+        engine = self.engines.get(id)
+        if engine is None:
+            engine = self.engines[id] = Engine(id)
+        return engine
+
+    def stands(self, engine, *told):
+        """`told`: whether it is up, its zone, cell, role and memory."""
+        if told != (engine.up, engine.zone, engine.cell, engine.role, engine.memory):
+            self.servers.leave(engine)
+            engine.up, engine.zone, engine.cell, engine.role, engine.memory = told
+            if engine.up:
+                self.servers.join(engine)
+
+    def leaves(self, engine, left):
+        engine.left = left
+        if left:
+            self.departed[engine.id] = engine
+        else:
+            self.departed.pop(engine.id, None)
+
+    def forget_departed(self):
+        """Ids come and go all day: what left is forgotten after its last forward."""
+        for id, engine in list(self.departed.items()):
+            if not engine.waiting and engine.streams < 1:
+                del self.departed[id], self.engines[id]
+                self.answered_lately.pop(id, None)
+
+    def answers(self, engine):
+        engine.answered = self.now
+        self.answered_lately.pop(engine.id, None)
+        self.answered_lately[engine.id] = engine
 
     def follow_list(self):
         again = not self.asked or self.ask_wait and self.now >= self.asked + self.ask_wait  # ever later
@@ -216,7 +254,7 @@
     def resumed(self, id, *told):
         """An answer that paused for a tool; its state has waited at an engine; `here` goes on there."""
         self.arrived(id, *told[:-3])
-        engine = self.engines.setdefault(told[-3], Engine(told[-3]))
+        engine = self.engine(told[-3])
         r, here, waited = self.reqs[id], *told[-2:]
         r.stage, r.reader, r.clock, r.held = READ, engine, self.now - waited, True
         if here:
@@ -233,7 +271,7 @@
         r = self.reqs[id]
         r.reader = self.engines.get(reader)
         for n, engine, ago, started in ([effect] if effect else []) + out:
-            engine, r.used, self.now = self.engines.setdefault(engine, Engine(engine)), n, now - ago
+            engine, r.used, self.now = self.engine(engine), n, now - ago
             way = r.reader and (r.reader.cell, "port" if r.reader.cell == engine.cell else "out")
             reads = engine.role == "read"
             link = None if reads or not way else self.links.setdefault(way, Engine(way))
@@ -243,7 +281,7 @@
                 self.ended_waiting(r.out[n])
         if effect:
             r.effect = r.out.pop(effect[0])
-            r.effect.engine.streams -= r.effect.tokens
+            self.servers.hold(r.effect.engine, -r.effect.tokens)
         self.now, self.out = now, writer
         r.stage, r.used, r.clock, r.held = stage, used, now - since, held
         if stage == STARTED:
@@ -292,7 +330,7 @@
         elapsed = elapsed or 0
         self.ended_waiting(f)
         if not f.reads:
-            f.engine.streams -= f.tokens
+            self.servers.hold(f.engine, -f.tokens)
             if ending == "done" and not f.started:  # it didn't stream: its end says what first tokens would
                 self.learn(f, elapsed)
             self.drained.add(self.now, f.tokens if f.started or ending == "done" else 0)
@@ -310,7 +348,8 @@
             r.held = True
         elif ending in FAILED and not missed or ending == "timed out" and not f.started:
             f.engine.fail(self.now, 2 if ending == "unreachable" else 1)  # full too: one that drains
-        f.engine.answered = self.now if ending in ("full", "done") else f.engine.answered
+        if ending in ("full", "done"):
+            self.answers(f.engine)
         if r.held and missed:
             self.let_go(r)  # its reader may only be cut off from that writer, and hold it all the same
         r.held = r.held and ending != "done"
@@ -381,6 +420,8 @@
         for way in (f.engine, f.link):
             if way:
                 way.answered, way.served_to = self.now, max(way.served_to, f.sent)
+                if way is f.engine:
+                    self.answers(way)
                 if f.roomy:  # a wait for memory says nothing of how fast the engine is
                     way.judge(self.now, elapsed / f.expected)
         for pace in f.paces if f.roomy else ():
@@ -460,16 +501,44 @@
             return 1
         return 1 - (1 - self.settings.get("cold_share", 1)) * (1 - max(age, 0) / warm)
 
-    @once_a_round
     def pool(self, reads):
-        up, roles = [e for e in self.engines.values() if e.up], ("read",) if reads else ("write", "both")
-        also = ("both", "write" if self.settings.get("writers_read") else "") if reads else ()  # alone
-        return [e for e in up if e.role in roles] or [e for e in up if e.role in also]
+        return self.servers.prefill if reads else self.servers.decode
+
+    def candidates(self, reads, r):
+        """Sets of engines that this req may be sent to, each looked at where those before hold nobody. In a
+        fleet that one set can hold there is only that."""
+        pool = self.pool(reads)
+        if len(pool) <= CANDIDATES:
+            yield self.servers.all_of(pool)
+            return
+        for n in range(1 + FURTHER):
+            if reads:
+                yield self.servers.behind(pool, "%s %d" % (self.home(r), n) if n else self.home(r))
+            else:
+                yield self.near_state(r, n)
+
+    def home(self, r):
+        """The key whose engines on the ring read this req. A prefix with more homes than a part of one set
+        has several keys, of which the session takes one."""
+        keys = 4 * self.homes(r) // CANDIDATES
+        return "%s %d" % (r.home, draw("key", r.session or r.id) % keys) if keys > 1 else r.home
+
+    def near_state(self, r, n):
+        """Decode engines in the cell and zone of the state, and where an attempt that may have run allows
+        another."""
+        cells, zones = [r.reader.cell], [r.reader.zone]
+        ran = r.effect or next(iter(r.out.values()), None)
+        if ran is not None:
+            cells.insert(0, ran.cell)
+            zones.insert(0, ran.zone)
+        place = point("%s %d" % (self.seed, n)) if n else self.place_on_ring
+        return self.servers.near(tuple(dict.fromkeys(cells)), tuple(dict.fromkeys(zones)), place)
 
     @once_a_round
-    def fit(self, reads):
-        """Engines not suspected, and how strained each is against its pool: where most are, it isn't they."""
-        engines = self.pool(reads)
+    def fit(self, candidates):
+        """Engines not suspected, and how strained each is against the others: where most are, it isn't
+        they."""
+        engines = candidates.servers
         strains = {e.id: self.strain(e) for e in engines}
         usual = max(median(strains.values()), 1) if strains else 1  # what all share is pace
         strains = {id: strain / usual for id, strain in strains.items()}
@@ -483,9 +552,15 @@
 
     def usable(self, reads, r):
         """Of those, the engines that may get this req: allowed by rule 2, not pushed over while cold."""
-        good, strains = self.fit(reads)
         fresh = not r.effect and not r.out  # asked of every engine for every req that is held, in each round
-        able = [e for e in good if (fresh or self.may_send(r, e)) and (not e.born or self.cold_room(e, r))]
+        for candidates in self.candidates(reads, r):
+            r.candidates = candidates
+            good, strains = self.fit(candidates)
+            able = [
+                e for e in good if (fresh or self.may_send(r, e)) and (not e.born or self.cold_room(e, r))
+            ]
+            if able:
+                break
         other = [e for e in able if e is not r.banned and e.cell != r.shunned]
         return other or [e for e in able if e is not r.banned] or able, strains
 
@@ -499,7 +574,7 @@
             engine.cold_sends = None
             return True
         window, work = self.settings.get("cold_window", 0), self.cold_work(r)
-        up = sum(e.role == engine.role and e.up for e in self.engines.values())
+        up = self.servers.up_of_role(engine.role)
         carried = self.carried[engine.role].rate(self.now) / up if engine.role in self.carried else 0
         share = (self.settings.get("cold_share", 1) + self.warmth(engine)) / 2  # half of a straight line
         budget = self.settings.get("cold_multiple", 1) * share * carried * window
@@ -544,8 +619,7 @@
     def own_held(self):
         """Share of the writers' memory held by this front, and how few usual forwards a writer has of it."""
         writers = self.pool(False)
-        own = sum(e.streams for e in writers)
-        return own / max(sum(e.memory for e in writers), 1), 2000 * len(writers) / max(own, 1)
+        return writers.held / max(writers.memory, 1), 2000 * len(writers) / max(writers.held, 1)
 
     @once_a_round
     def room(self, engine):
@@ -578,7 +652,7 @@
             f.expected = f.paces[0].expect(self.now, engine.pending)
             r.stage = READING
         else:
-            engine.streams += f.tokens
+            self.servers.hold(engine, f.tokens)
             f.paces = self.pace["write"], self.pace[link.id[1] if link else "port"]
             whole, way = (pace.expect(self.now, f.tokens) for pace in f.paces)
             f.expected = whole + self.unseen * (way - whole)  # thin: a slow link looks like slow writers
@@ -622,15 +696,24 @@
                 if not again or f.cancelled or self.now - f.sent < self.silence(f):
                     continue
                 # hung: silent while peers answered; lost: one sent later was answered. Else it is only behind
-                later = [e for e in self.pool(f.reads) if e is not f.engine and e.answered > f.sent]
-                peers = any(f.reads or self.may_send(r, e) for e in later)
-                if f.engine.answered < f.sent and peers or f.engine.served_to > f.sent:
+                hung = f.engine.answered < f.sent and self.peer_answered(r, f)
+                if hung or f.engine.served_to > f.sent:
                     for way in (f.engine, f.link):
                         if way and (way.answered < f.sent or way is f.engine and way.served_to > f.sent):
                             way.fail(self.now, 0)
                     self.in_vain(f)
                     self.cancel(f)
 
+    def peer_answered(self, r, f):
+        """Whether another engine that might serve this has answered since it was sent."""
+        pool = self.pool(f.reads)
+        for engine in reversed(self.answered_lately.values()):
+            if engine.answered <= f.sent:
+                return False
+            if engine is not f.engine and engine in pool and (f.reads or self.may_send(r, engine)):
+                return True
+        return False
+
     def abandon(self, r, stuck):
         """Rule 5: forwards that have not arrived don't hold the state; it goes elsewhere, or is let go."""
         if not self.settings.get("may_cancel"):
@@ -645,8 +728,7 @@
         if not unread:
             return
         # tokens ahead of a new read: own ones without an answer, less this front's part of the free
-        well = [e for e in self.pool(False) if self.strain(e) * self.warmth(e) < 3]
-        free, whole = sum(max(self.room(e) - e.memory / 16, 0) for e in well), sum(e.memory for e in well)
+        free, whole = self.free_memory()
         chance = 2 * (free / self.fronts * self.usual_work(unread[0])) ** 0.5
         free = free / self.fronts + (self.unseen * free / whole * chance if whole * self.unseen else 0)
         ahead = sum(r.prompt + r.answer for r in self.live.values() if r.stage != UNREAD) - free
@@ -654,7 +736,7 @@
         for r in self.live.values():
             if r.stage in (READ, WRITING) and r.reader:
                 self.parked[r.reader.id] = self.parked.get(r.reader.id, 0) + r.prompt
-        steps = 2 if any(e.role == "read" for e in self.pool(True)) else 1  # alone they read and answer
+        steps = 2 if self.servers.has_prefill_only else 1  # alone they read and answer
         for r in unread:
             need = r.prompt + r.answer
             engine, alone, wait = self.pick_reader(r)
@@ -675,13 +757,9 @@
             return None, pace.expect(self.now, r.prompt), 0
         rank = r.weights  # drawn once, or held reqs would draw them in each round
         rank.update((e.id, draw(r.home, e.id)) for e in engines if e.id not in rank)
-        # a prefix asked for more than a reader's even part has as many homes, in powers of two: all agree
-        often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
-        part = max(often / (self.asked_for.read(self.now) + 10), 1 / 11)  # ten: a young front knows little
-        count = 2 ** round(log2(1 + self.unseen * max(len(self.pool(True)) * part, often * self.fronts / 10)))
-        homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[:count]
+        homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[: self.homes(r)]
         pick = max(homes, key=lambda e: draw(r.session or r.id, e.id))
-        load = self.reading()
+        load = self.reading(r.candidates)
         if load[pick.id] > 2 * median(load[e.id] for e in engines) + Pace.BASE / self.fronts:  # clearly over
             # fewest pending with its own unread part, by two steps, or reading anew jams the rest
             total = {e.id: load[e.id] + self.cost(e, r) * strains[e.id] for e in engines}
@@ -698,10 +776,27 @@
             pick, wait = (quick, waits[quick.id]) if waits[quick.id] <= self.patience(r) else (pick, wait)
         return pick, expect(pick, 0), wait
 
+    def homes(self, r):
+        """How many engines read a prefix: one asked for more than a reader's even part has as many homes, in
+        powers of two, so that all fronts agree."""
+        often = self.prefixes[r.prefix].read(self.now) if r.prefix in self.prefixes else 0
+        part = max(often / (self.asked_for.read(self.now) + 10), 1 / 11)  # ten: a young front knows little
+        most = max(len(self.pool(True)) * part, often * self.fronts / 10)
+        return 2 ** round(log2(1 + self.unseen * most))
+
+    def free_memory(self):
+        """(tokens that decode engines which are well probably have free, tokens of their memory)."""
+        pool = self.pool(False)
+        sample = self.servers.sample(pool, self.place_on_ring).servers
+        well = [e for e in sample if self.strain(e) * self.warmth(e) < 3]
+        free, whole = sum(max(self.room(e) - e.memory / 16, 0) for e in well), sum(e.memory for e in well)
+        stands_for = len(pool) / max(len(sample), 1)
+        return free * stands_for, whole * stands_for
+
     @once_a_round
-    def reading(self):
+    def reading(self, candidates):
         """What each reader has before it; one step's worth on top shows an idle but slow one."""
-        good, strains = self.fit(True)
+        good, strains = self.fit(candidates)
         parked = self.parked.get
         return {e.id: (self.pending(e) + parked(e.id, 0) + Pace.BASE) * strains[e.id] for e in good}
 
@@ -710,7 +805,7 @@
 
     def place_states(self):
         waiting = sorted((r for r in self.live.values() if r.stage == READ), key=lambda r: r.rank)
-        cells = {e.cell for e in self.pool(True)}
+        one_cell = len(self.pool(True).cells) < 2
         for r in waiting:
             # past the limit forwards that never left have held it: each further one may take as long to fail
             over = r.used >= self.cap or self.now > r.clock + self.release_within
@@ -719,7 +814,7 @@
             ids = {way: (r.reader.cell, way) for way in ("port", "out")}
             links = {way: self.links.setdefault(id, Engine(id)) for way, id in ids.items()}
             ways = [key for key, link in links.items() if self.strain(link) < 3 or self.due_test(link)]
-            if len(cells) < 2 and not any(self.way(r, e) in ways for e in engines):
+            if one_cell and not any(self.way(r, e) in ways for e in engines):
                 ways = list(links)  # nowhere else to read it anew, and a late link may only be behind
             funds = [key for key in ways if self.has_credit(r, links[key])]
             paid = [e for e in engines if self.way(r, e) in funds]
--- a/tests/test_unmet_settings.py
+++ b/tests/test_unmet_settings.py
@@ -107,7 +107,8 @@
                     if hung not in r.out.values():
                         rig.play(("outcome", (r.id, 1, "cancelled", r.out[1].engine.id, 1000, True, 0, None)))
                 for _ in range(200):
-                    rig.front.engines["w2"].answered = rig.now
+                    rig.front.now = rig.now
+                    rig.front.answers(rig.front.engines["w2"])
                     seen += rig.play(after=20_000).all("cancel")
                 self.assertEqual(seen, [(hung.req.id, 1)] * cancelled)
 
