--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -6,6 +6,8 @@
 breaks or ends later, and bytes that can't be read, prove nothing (reset). Nothing is sent twice here.
 """
 
+from itertools import cycle
+
 import gevent
 
 from martenrouter.edge import clock
@@ -56,8 +58,10 @@
     local_ending = "not sent"  # it speaks against no server
 
     def __init__(self, kept, connect_within, release_within, counters, log):
-        """`connect_within`, `release_within`: microseconds, as the settings have them."""
+        """`connect_within`, `release_within`: microseconds, as the settings have them.
+        `release_ended(engine, answered)` is set by the node."""
         super().__init__(kept, connect_within, counters)
+        self.release_ended = lambda engine, answered: None
         self.release_within = release_within
         self.log, self.out, self.letting_go = log, {}, 0
 
@@ -224,17 +228,18 @@
             self.letting_go -= 1
 
     def _let_go_now(self, id, engine, others, still):
-        tried = None
-        for n in range(LET_GO_TRIES):
-            # each time: an engine that does not answer takes 50 ms, in which a state that is wanted may come
-            # to be
+        asked = [engine] if engine else []
+        asked += [other for other in others() if other != engine]
+        for n, other in zip(range(LET_GO_TRIES), cycle(asked)):
+            # each time: an engine that does not answer takes 50 ms, in which a state that is wanted may
+            # come to be
             if not still():
                 return
             self.counters["let_go"] += not n
-            engine = engine or next((other for other in others() if other != tried), tried)
-            if self._asked_to_let_go(id, engine):
+            answered = self._asked_to_let_go(id, other)
+            self.release_ended(other, answered)
+            if answered:
                 return
-            engine, tried = None, engine
         self.counters["let_go_failed"] += 1
         self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
 
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -291,12 +291,11 @@
         twice, and not while a forward is out, which would lose its state. One that has written nothing, or
         whose bytes have not arrived, has none yet: engines that take no connection, one after the other,
         would keep a state that a broken read left for as long as they take to fail. `first` is the engine of
-        a read that ended well; where one broke, its engine may be silent, and one that answered lately is
-        asked first."""
+        a read that ended well; where one broke, its engine may be silent, and the policy says whom to ask."""
         self.engines.let_go(
             r.id,
             first,
-            self._others,
+            self.desk.front.release_order,
             after,
             lambda: not r.holds and all(f.written is None or f.arrived is False for f in r.forwards.values()),
         )
@@ -379,14 +378,6 @@
             r.streams = None
             r.may_have_run.clear()
 
-    def _others(self):
-        """Engines that run as far as is known, those first that have a connection to spare."""
-        kept = self.engines.kept.idle
-        return sorted(
-            (id for id, phase in self.phases.items() if phase != "gone"),
-            key=lambda id: (id not in kept, -kept[id][-1][0] if id in kept else 0),
-        )
-
     def _look_after_sends(self, now):
         """Tells the policy whether a send behind a read state has arrived, each time that changes."""
         for f in self.engines.out.values():
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -70,6 +70,9 @@
             self.counters,
             log,
         )
+        self.engines.release_ended = lambda engine, answered: self.desk.post(
+            "release_ended", engine, answered
+        )
         groups = {group.get("name") for group in plain["groups"]}
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
         self.door = Door(
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -8,12 +8,14 @@
 """
 
 from hashlib import blake2b
+from itertools import islice
 from math import exp, log2
 from statistics import median
 from zlib import crc32
 
 from martenrouter.policy.hashing import draw, point
 from martenrouter.policy.reasons import GiveUp
+from martenrouter.policy.release import TRIES, Releases
 from martenrouter.policy.servers import CANDIDATES, Servers
 
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
@@ -142,6 +144,7 @@
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.servers = Servers(get("writers_read", False))
         self.place_on_ring = point(seed)  # where this process looks for decode servers: it meets them again
+        self.releases = Releases()
         self.departed = {}  # engines that left the list, until the last forward there has ended
         self.answered_lately = {}  # engines that answered, in the order of their last answers
         self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
@@ -440,6 +443,20 @@
         r.held = False
         self.out.let_go(r.id)
 
+    def release_ended(self, engine_id, answered):
+        """A call to release a state at this engine ended."""
+        self.releases.ended(self.now, engine_id, answered)
+
+    def release_order(self):
+        """Ids of the engines to ask to release a state, one after the other."""
+        lately = (engine for engine in reversed(self.answered_lately.values()) if not engine.left)
+        place, half = int(self.chance() * 2**64), TRIES
+        drawn = self.servers.prefill.ring.behind(place, half) + self.servers.decode.ring.behind(place, half)
+        drawn.sort(key=lambda engine: draw(place, engine.id))
+        if not drawn:  # all drain
+            drawn = islice((engine for engine in self.engines.values() if not engine.left), TRIES)
+        return self.releases.order(self.now, lately, drawn)
+
     def finish(self, r):
         """Cancels what is still out; the state is let go and the req forgotten with its last outcome."""
         r.stage = ENDED
--- a/tests/sockets/test_held_states.py
+++ b/tests/sockets/test_held_states.py
@@ -82,15 +82,7 @@
 
     def test_a_state_goes_in_time_though_no_connection_comes_up_and_the_process_is_held_up(self):
         """A writer without room is tried last. 0.15 s of the 0.3 that sockets have more are for a hold-up."""
-        blocked = socket.socket()
-        self.addCleanup(blocked.close)
-        blocked.bind(("127.0.0.1", 0))
-        blocked.listen(0)
-        for _ in range(3):
-            filler = socket.socket()
-            self.addCleanup(filler.close)
-            filler.setblocking(False)
-            filler.connect_ex(blocked.getsockname())
+        address = silent_address(self)
         for limit in (200_000, 300_000):
             with self.subTest(limit=limit):
                 family = {**SETTINGS["family-info"], "pin-limit-us": limit, "memory-tokens": [200_000, 500]}
@@ -100,10 +92,7 @@
                     grades=[FREE],
                     **{"family-info": family},
                 )
-                unreachable = {
-                    **rig.engines["w"].member(),
-                    "host_port": "127.0.0.1:%d" % blocked.getsockname()[1],
-                }
+                unreachable = {**rig.engines["w"].member(), "host_port": address}
                 rig.agent.tell(2, [unreachable])
                 rig.until(lambda: rig.node.watch.revision == 2)
                 client = rig.client().ask(x_timeout_ms="4000")
@@ -133,6 +122,48 @@
         self.assertLess(time.monotonic() - begun, 2.5)
 
 
+def silent_address(case):
+    """An address at which connections never come up."""
+    blocked = socket.socket()
+    case.addCleanup(blocked.close)
+    blocked.bind(("127.0.0.1", 0))
+    blocked.listen(0)
+    for _ in range(3):
+        filler = socket.socket()
+        case.addCleanup(filler.close)
+        filler.setblocking(False)
+        filler.connect_ex(blocked.getsockname())
+    return "127.0.0.1:%d" % blocked.getsockname()[1]
+
+
+class Releases(unittest.TestCase):
+    def fleet(self, silent, alive):
+        """(rig, decode server): so many servers at which no connection comes up, then so many that are one
+        decode server under several names; the prefill server breaks its reads and is gone then."""
+
+        def breaks(server, sock, call, nth):
+            server.die()
+
+        rig = Rig(Engine("r", "prefill", script=breaks), Engine("w", "decode"))
+        self.addCleanup(rig.close)
+        writer, address = rig.engines["w"], silent_address(self)
+        told = [{**writer.member(), "id": "a%d" % n, "host_port": address} for n in range(silent)]
+        told += [{**writer.member(), "id": "b%d" % n} for n in range(alive)]
+        rig.agent.tell(2, told + [{**writer.member(), "phase": "left"}])
+        rig.until(lambda: rig.node.watch.revision == 2)
+        return rig, writer
+
+    # Report 87b5f4, related: calls to release went to the list's first two servers in turn.
+    def test_a_state_is_released_in_time_though_half_of_the_servers_are_silent(self):
+        rig, writer = self.fleet(silent=20, alive=20)
+        client = rig.client().ask(x_timeout_ms="4000")
+        rig.until(lambda: rig.engines["r"].calls)
+        broke = time.monotonic()
+        rig.until(lambda: writer.released)
+        self.assertLess(time.monotonic() - broke, HELD_WITHIN)
+        client.close()
+
+
 class OlderLists(unittest.TestCase):
     def test_a_drain_is_not_undone_by_an_older_list(self):
         rig = Rig(Engine("r", "prefill"), Engine("w", "decode"))
