--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -9,6 +9,7 @@
 from itertools import cycle
 
 import gevent
+from gevent.lock import BoundedSemaphore
 
 from martenrouter.edge import clock
 from martenrouter.edge.lines import Broke, Lines, Stopped
@@ -57,11 +58,12 @@
 class Engines(Lines):
     local_ending = "not sent"  # it speaks against no server
 
-    def __init__(self, kept, connect_within, release_within, counters, log):
-        """`connect_within`, `release_within`: microseconds, as the settings have them.
-        `release_ended(engine, answered)` is set by the node."""
+    def __init__(self, kept, connect_within, release_within, releases, counters, log):
+        """`connect_within`, `release_within`: microseconds, as the settings have them; `releases`: calls to
+        release that may be out at once. `release_ended(engine, answered)` is set by the node."""
         super().__init__(kept, connect_within, counters)
         self.release_ended = lambda engine, answered: None
+        self._releases_out = BoundedSemaphore(max(releases, 1))
         self.release_within = release_within
         self.log, self.out, self.letting_go = log, {}, 0
 
@@ -231,12 +233,13 @@
         asked = [engine] if engine else []
         asked += [other for other in others() if other != engine]
         for n, other in zip(range(LET_GO_TRIES), cycle(asked)):
-            # each time: an engine that does not answer takes 50 ms, in which a state that is wanted may
-            # come to be
-            if not still():
-                return
-            self.counters["let_go"] += not n
-            answered = self._asked_to_let_go(id, other)
+            with self._releases_out:
+                # each time: an engine that does not answer takes 50 ms, in which a state that is wanted may
+                # come to be
+                if not still():
+                    return
+                self.counters["let_go"] += not n
+                answered = self._asked_to_let_go(id, other)
             self.release_ended(other, answered)
             if answered:
                 return
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -33,6 +33,7 @@
 # an eighth, is the reserve of the list's watch, calls to let go, the door and files: nothing that clients do
 # takes from it
 CLIENTS, REQS, KEPT = 2 / 5, 1 / 3, 1 / 7
+RELEASES = 1 / 16  # of the descriptors: calls to release that are out at once, half of the reserve
 COME_BACK = (
     1_000_000  # microseconds that what is turned away over a bound is told, where the settings allow it
 )
@@ -67,6 +68,7 @@
             Connections(kept, idle, total=kept, rests=RESTS),
             plain.get("connect_within", 250_000),
             plain.get("release_within", 1_000_000),
+            int(sockets * RELEASES),
             self.counters,
             log,
         )
--- a/tests/sockets/test_held_states.py
+++ b/tests/sockets/test_held_states.py
@@ -1,6 +1,7 @@
 """A state held at a prefill server is used or released in its time, whatever becomes of sends behind it."""
 
 import errno
+import os
 import socket
 import time
 import unittest
@@ -163,6 +164,18 @@
         self.assertLess(time.monotonic() - broke, HELD_WITHIN)
         client.close()
 
+    # Report 87b5f4, related: each call to release held a descriptor, however many there were.
+    def test_calls_to_release_take_no_more_than_their_part_of_the_descriptors(self):
+        rig, _ = self.fleet(silent=40, alive=0)
+        before, most = len(os.listdir("/proc/self/fd")), 0
+        for n in range(300):
+            rig.node.engines.let_go("%016x" % n, None, rig.node.desk.front.release_order)
+        for _ in range(20):
+            gevent.sleep(0.01)
+            most = max(most, len(os.listdir("/proc/self/fd")) - before)
+        self.assertGreater(most, 0)
+        self.assertLessEqual(most, rig.sockets // 8)
+
 
 class OlderLists(unittest.TestCase):
     def test_a_drain_is_not_undone_by_an_older_list(self):
