Starts and drains of servers are remembered for four times the largest fleet

Told again in a whole list, 2,304 of 3,200 passed for younger than they are (taken for cold), and an older list undid drains.

--- a/martenrouter/node/drains.py
+++ b/martenrouter/node/drains.py
@@ -4,7 +4,7 @@
 server's end holds until a list that is no older, or a new start of that server, says otherwise.
 """
 
-REMEMBERED = 4096  # servers; those told longest ago are forgotten first
+REMEMBERED = 12_800  # servers, four times the largest fleet; those told longest ago are forgotten first
 
 
 class Drains:
--- a/martenrouter/node/server_starts.py
+++ b/martenrouter/node/server_starts.py
@@ -11,7 +11,8 @@
 
 NEWS_LATE = 2_000_000  # microseconds that news of a start may take: the watch's empty lines come at this pace
 
-REMEMBERED = 4096  # servers whose starts are kept; those told longest ago go first
+# servers whose starts are kept, four times the largest fleet; those told longest ago go first
+REMEMBERED = 12_800
 
 
 class ServerStarts:
