--- a/martenrouter/wire/platform/members.py
+++ b/martenrouter/wire/platform/members.py
@@ -68,6 +68,17 @@
     )
 
 
+def _is_object(line):
+    """Whether the line is a whole message: most are, and decoding is quicker than counting braces."""
+    if not line.rstrip().endswith(b"}"):
+        return False
+    try:
+        _decoder.decode(line)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return False
+    return True
+
+
 def _begins_an_object(line):
     """Raises BadLine when no further lines could make a message of it: they would be waited for in vain."""
     try:
@@ -101,6 +112,9 @@
                 raise BadLine("an object was cut off: %r" % self._object[0][:60])
             if not line.strip():
                 continue
+            if not self._depth and _is_object(line):
+                whole.append(line)
+                continue
             # braces outside of strings: a string of JSON never goes on in another line
             marks = _MARKS.findall(line)
             self._depth += marks.count(b"{") - marks.count(b"}")
