A process that is late uses states and answers earlier, and begins no read it can't follow

Cause: the policy took the time at which it heard of a read's end for the time at which it ended, and counted on being on time at each limit. Now the node tells how long its loop was held and since when a read's end can have waited; limits of states and answers come earlier by as much, and no read begins while the loop is late by more than a state's limit and 0.2 s.

--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -57,7 +57,7 @@
 
 
 class Hands:
-    """`desk`, `engines`, `phases` are set by the node that these are the hands of."""
+    """`desk`, `door`, `engines`, `phases` are set by the node that these are the hands of."""
 
     def __init__(self, settings, counters, log):
         self.settings, self.counters, self.log = settings, counters, log
@@ -254,12 +254,15 @@
             why=f.why,
             idled=f.idled,
         )
-        self.desk.post("outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load)
+        came = self.door.turns.earliest() if ending == "read" else clock.now()
+        self.desk.post(
+            "outcome", r.id, f.n, ending, f.engine, elapsed, r.over is not None, note, f.load, came
+        )
         self.guard.ended(f, ending in LEAVES_NOTHING)
         r.history.append((f.n, f.engine, ending, elapsed // 1000))
         if f.reads:
             r.holds = ending == "read"
-            r.held_since = clock.now() if r.holds else None
+            r.held_since = came if r.holds else None
             r.doubtful = r.doubtful or ending not in LEAVES_NOTHING
         elif ending == "full" and note == 1:
             # its reader may only be cut off from that writer, and hold the state all the same
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -199,6 +199,8 @@
             gevent.sleep(LOOKS / 1e6)
             now = clock.now()
             self.load.woke(now - due)
+            if now - due >= LOOKS:
+                self.desk.post("held_up", now - due)
             for look in (
                 lambda: self.look_after(now),
                 self.engines.sweep,
--- a/martenrouter/policy/reasons.py
+++ b/martenrouter/policy/reasons.py
@@ -12,5 +12,6 @@
     SEND_NOT_ARRIVED = "send_not_arrived"
     QUEUE = "queue_longer_than_target"
     ATTEMPTS = "attempts_used_up"
+    PROCESS_LATE = "this_process_is_late"
     STATE_LIMIT = "state_held_to_its_limit"
     OTHER = "decided_elsewhere"
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -14,6 +14,7 @@
 from zlib import crc32
 
 from martenrouter.policy.hashing import draw, point
+from martenrouter.policy.lateness import Lateness
 from martenrouter.policy.reasons import GiveUp
 from martenrouter.policy.release import TRIES, Releases
 from martenrouter.policy.servers import CANDIDATES, Servers
@@ -21,6 +22,7 @@
 UNREAD, READING, READ, WRITING, STARTED, ENDED = range(6)
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
 FAILED = ("error", "unreachable", "reset", "full")  # endings that speak against an engine
+HELD_UP_ALLOWED = 200_000  # microseconds beyond a state's limit: two thirds of what sockets have more
 FURTHER = 3  # sets of candidates that are looked at where the first holds nobody who may be sent to
 
 
@@ -144,7 +146,7 @@
         self.engines, self.reqs, self.live, self.links = {}, {}, {}, {}
         self.servers = Servers(get("writers_read", False))
         self.place_on_ring = point(seed)  # where this process looks for decode servers: it meets them again
-        self.releases = Releases()
+        self.releases, self.lateness, self.late = Releases(), Lateness(), 0
         self.departed = {}  # engines that left the list, until the last forward there has ended
         self.answered_lately = {}  # engines that answered, in the order of their last answers
         self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
@@ -158,6 +160,7 @@
 
     def turn(self, now, inbox, out):
         self.now, self.out, self.same = now, out, {}
+        self.late = self.lateness.read(now)
         for call, arguments in inbox:
             getattr(self, call)(*arguments)
         self.follow_list()
@@ -242,6 +245,7 @@
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4  # else a quarter of a ceiling
         r.stage, r.reader, r.clock, r.used, r.out, r.effect = UNREAD, None, 0, 0, {}, None
         r.held, r.banned, r.shunned, r.weights = False, None, None, {}
+        r.unheard = 0  # microseconds that its state may have waited before this process heard of it
         part = self.settings.get("over_share_importance", 1) if self.over_share(r) else 1
         r.rank = (-part * g.get("importance", 1), r.target, id)
         self.asked_for.add(self.now, 1)
@@ -324,7 +328,13 @@
         if f:
             f.arrived = arrived
 
-    def outcome(self, id, n, ending, engine_id, elapsed, final, note, load):
+    def held_up(self, late):
+        """This process's event loop was held for so many microseconds."""
+        self.lateness.held_up(self.now, late)
+        self.late = self.lateness.read(self.now)
+
+    def outcome(self, id, n, ending, engine_id, elapsed, final, note, load, came=None):
+        """`came`: when it can have come, where that is long before this round."""
         self.probed(ending, elapsed, engine_id, load)
         r = self.reqs.get(id)
         f = r and r.out.pop(n, None)
@@ -360,6 +370,7 @@
             return self.finish(r) if final or r.stage == ENDED else None
         if ending == "read":
             r.stage, r.reader, r.clock = READ, f.engine, self.now
+            r.unheard = 0 if came is None else self.now - came
         elif f.reads:
             r.stage, r.banned = UNREAD, f.engine
         else:
@@ -761,11 +772,19 @@
             # nothing is sent into a wait of three fifths of the target; none passes one of higher rank
             blocked = blocked or ahead + free > 0 and queue > 0.6 * (r.target - self.now)
             able = r.used + steps <= self.cap
-            if engine and able and not blocked and (not self.pending(engine) or wait <= self.patience(r)):
+            in_time = self.late <= self.release_within + HELD_UP_ALLOWED  # else its state would wait too long
+            if (
+                engine
+                and able
+                and in_time
+                and not blocked
+                and (not self.pending(engine) or wait <= self.patience(r))
+            ):
                 self.send(r, engine, engine.role == "read")
                 ahead += need
             elif not able or self.now + alone + queue > r.target:  # too late even with none of ours before it
-                self.give_up(r, GiveUp.QUEUE if able else GiveUp.ATTEMPTS)
+                queued = GiveUp.QUEUE if in_time else GiveUp.PROCESS_LATE
+                self.give_up(r, queued if able else GiveUp.ATTEMPTS)
 
     def pick_reader(self, r):
         engines, strains = self.usable(True, r)
@@ -850,12 +869,14 @@
                 self.give_up(r, GiveUp.ATTEMPTS if over else GiveUp.STATE_LIMIT)
 
     def answer_by(self, r):
-        return r.deadline - 2 * self.round_time - 2000  # two rounds early, so that the answer is out in time
+        # two rounds early, so that the answer is out in time; earlier where this process is late
+        late = min(self.late, (r.deadline - r.arrived) // 4)
+        return r.deadline - 2 * self.round_time - 2000 - late
 
     def release_at(self, r):
         # shortly before: two rounds and a tenth of the limit; a long one holds no longer than the target
         limit = min(self.release_within, r.target - r.arrived)
-        return r.clock + limit - 2 * self.round_time - limit // 10
+        return r.clock + max(limit - 2 * self.round_time - limit // 10 - self.late - r.unheard, 0)
 
     def way(self, r, engine):
         return "port" if r.reader.cell == engine.cell else "out"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,6 +20,8 @@
 READY_WITHIN = 10  # seconds
 STILL_OWED = 0.7  # seconds after SIGTERM in which what comes is owed an answer
 KILLED_AFTER = 3.7  # seconds after SIGTERM: the longest deadline of these settings, and 0.7
+SERIES = 0.1  # seconds between signals in series
+CROWD = 150  # idle clients at once: more than a node of these settings takes
 RESET = struct.pack("ii", 1, 0)
 TOLD_WITHIN = 6.0  # seconds after which news that an agent has count as told, watch or no watch
 HEARTBEAT = 1.0  # seconds between empty lines of an agent
@@ -191,11 +193,15 @@
         if self.popen.poll() is None:
             self.popen.send_signal(number)
 
-    def stop_and_start_anew(self):
+    def stop_and_start_anew(self, then=()):
+        """`then`: signals that follow the first SIGTERM, SERIES seconds apart."""
         self.is_up = False
         self.stops.append(time.monotonic())
         self.signal(signal.SIGTERM)
-        self.ended_within(KILLED_AFTER)
+        for number in then:
+            gevent.sleep(SERIES)
+            self.signal(number)
+        self.ended_within(KILLED_AFTER - SERIES * len(then))
         self.start()
 
     def ended_within(self, seconds):
@@ -234,6 +240,18 @@
         if not half_written:
             self.signal(signal.SIGHUP)
 
+    def crowd(self, seconds):
+        """Idle clients that hold all connections which the node gives them."""
+        clients = []
+        for _ in range(CROWD):
+            try:
+                clients.append(Client(("127.0.0.1", self.port)))
+            except OSError:
+                break  # it is down, or its queue is full
+        gevent.sleep(seconds)
+        for client in clients:
+            client.close()
+
     def lines(self):
         with open(self.log_path, errors="replace") as file:
             for line in file:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -48,13 +48,32 @@
 }
 
 
+# drawn apart from those above, so that these stay what a seed drew before: kind -> most in one plan
+FURTHER_KINDS = {"signal_series": 2, "crowd": 1, "busy": 2}
+CROWD = (0.5, 2.0)  # seconds for which a crowd of idle clients stays
+BUSY = ((0.05, 0.15), (0.05, 0.2))  # seconds for which an event loop is held and goes on, drawn between these
+
+
 def drawn(seed, nodes, servers):
     """The plan's troubles in the order of their begin."""
     draw = random.Random("%d plan" % seed)
     troubles = [_trouble(draw, nodes, servers) for _ in range(draw.randint(FEWEST_TROUBLES, MOST_TROUBLES))]
+    draw = random.Random("%d further" % seed)
+    for kind, most in FURTHER_KINDS.items():
+        troubles += [_further(draw, kind, nodes) for _ in range(draw.randint(0, most))]
     return sorted(troubles, key=lambda trouble: trouble.at)
 
 
+def _further(draw, kind, nodes):
+    at, to, lasts, detail = draw.uniform(0.2, DURATION - 1), draw.randrange(nodes), 0.0, ()
+    if kind == "crowd":
+        lasts = draw.uniform(*CROWD)
+    elif kind == "busy":
+        lasts = draw.uniform(0.5, 2.0)
+        detail = tuple(round(draw.uniform(*span), 3) for span in BUSY)
+    return Trouble(kind, round(at, 3), to, round(lasts, 3), detail)
+
+
 def _trouble(draw, nodes, servers):
     kind = draw.choices(list(KINDS), list(KINDS.values()))[0]
     at, lasts, detail = draw.uniform(0.2, DURATION - 1), draw.uniform(0.3, 2.0), ()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,12 +17,14 @@
 
 import gevent
 
-from tests.soak.fleet import READY_WITHIN, STILL_OWED, Echo, Fleet, Proxy
+from tests.soak.fleet import KILLED_AFTER, READY_WITHIN, SERIES, STILL_OWED, Echo, Fleet, Proxy
 from tests.soak.plan import DURATION, EVERY_NODE, drawn
 from tests.sockets.fault_scenarios import Scenario, Server
 from tests.sockets.node_rig import Client
 
 NODES = 12
+TALKERS, TALK_EACH = 3, 0.15  # clients of a node that is stopped; seconds between their requests
+FIRST_TALK = 1_000_000  # numbers of their requests
 CLIENTS = 25  # for each node; each sends up to three requests
 START = 4.0  # seconds that processes have to come up before the troubles begin
 SETTLED = 4.5  # seconds in which what is open ends by itself
@@ -69,6 +71,7 @@
         self.troubles = [trouble for n, trouble in enumerate(self.plan) if n not in leave_out]
         self.starts = collections.defaultdict(list)  # server's id -> when it started cold
         self.connections = []  # number of the node of each
+        self.talked = 0  # requests of clients that go on through a stop
         self.stops = True  # streams may be cut by a stop's end
 
     def fleet(self, draw):
@@ -145,6 +148,9 @@
     def client(self):
         """A connection to one of the nodes; drawn by the number of connections so far."""
         node = self.stream("connection %d" % len(self.connections)).choice(self.processes.nodes)
+        return self._client_of(node)
+
+    def _client_of(self, node):
         self.connections.append(node.number)
         client = Client(("127.0.0.1", node.port))
         client.node = node
@@ -158,7 +164,7 @@
     # ---- troubles ----
 
     def shims(self, node):
-        told = {"clock": [], "failing": [], "silent": [], "mutation": self.mutation}
+        told = {"clock": [], "failing": [], "silent": [], "busy": [], "mutation": self.mutation}
         for trouble in self.troubles:
             begin = self.begin + trouble.at
             span = {"from": begin, "to": begin + trouble.lasts}
@@ -167,6 +173,8 @@
                 told["silent"].append({**span, "ports": ports})
             elif trouble.kind == "clock" and trouble.to in (node.number, EVERY_NODE):
                 told["clock"].append([begin, trouble.detail[0]])
+            elif trouble.to == node.number and trouble.kind == "busy":
+                told["busy"].append({**span, "held": trouble.detail[0], "free": trouble.detail[1]})
             elif trouble.to == node.number and trouble.kind == "failing_call":
                 call, number, nth = trouble.detail
                 told["failing"].append({**span, "call": call, "errno": number, "nth": nth})
@@ -180,8 +188,40 @@
     def _node(self, trouble):
         return self.processes.nodes[trouble.to]
 
-    def _cause_stop(self, trouble):
-        self._node(trouble).stop_and_start_anew()
+    def _cause_stop(self, trouble, then=()):
+        """Clients go on using their open connections until the kill."""
+        node = self._node(trouble)
+        if not node.is_up:
+            return
+        draw = self.stream("talkers %s" % trouble)
+        talkers = [gevent.spawn(self._talk, draw, node) for _ in range(TALKERS)]
+        gevent.sleep(TALK_EACH)
+        node.stop_and_start_anew(then)
+        gevent.joinall(talkers)
+
+    def _talk(self, draw, node):
+        """Requests over one open connection for as long as it lasts."""
+        try:
+            client = self._client_of(node)
+        except OSError:
+            return  # it was stopped just before
+        until = time.monotonic() + TALK_EACH + KILLED_AFTER
+        while time.monotonic() < until:
+            self.talked += 1
+            if not self._play_batch(draw, client, "in_turn", [FIRST_TALK + self.talked], last=False):
+                break
+            gevent.sleep(TALK_EACH)
+        client.close()
+
+    def _cause_signal_series(self, trouble):
+        node = self._node(trouble)
+        node.reload(half_written=False)
+        gevent.sleep(SERIES)
+        node.reload(half_written=False)
+        self._cause_stop(trouble, (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM))
+
+    def _cause_crowd(self, trouble):
+        self._node(trouble).crowd(trouble.lasts)
 
     def _cause_kill(self, trouble):
         self._node(trouble).kill_and_start_anew()
