--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -2,7 +2,8 @@
 `python -m tests.soak.launcher SPEC node CONFIG`.
 
 SPEC names a JSON file: `clock` [[at, seconds]], `failing` [{from, to, call, errno, nth}], `silent` [{from,
-to, ports}], `mutation` a name of MUTATIONS or null. Times are seconds of the machine's monotonic clock, so
+to, ports}], `busy` [{from, to, held, free}]: seconds for which the event loop is held and goes on, in turn;
+`mutation` a name of MUTATIONS or null. Times are seconds of the machine's monotonic clock, so
 that a plan holds over restarts. The program knows nothing of it.
 """
 
@@ -15,6 +16,7 @@
 import termios
 import time
 
+import gevent
 from gevent.server import StreamServer
 
 
@@ -99,6 +101,19 @@
         socket.socket.connect_ex, socket.socket.close = failing_connect, forgetting_close
         StreamServer.do_read, fcntl.ioctl, builtins.open = failing_accept, counting_ioctl, failing_open
 
+    # ---- a processor that others use ----
+
+    def hold_loop(self):
+        for window in self.spec.get("busy", ()):
+            gevent.spawn(self._hold, window)
+
+    @staticmethod
+    def _hold(window):
+        gevent.sleep(max(window["from"] - time.monotonic(), 0))
+        while time.monotonic() < window["to"]:
+            time.sleep(window["held"])  # not gevent's: nothing else runs meanwhile
+            gevent.sleep(window["free"])
+
     def is_silent(self, sock):
         """Whether what is sent on it now never arrives: a connection that lost bytes once loses all."""
         if sock.fileno() in self.lost:
@@ -193,6 +208,7 @@
     del sys.argv[1]
     shims.step_clock()
     shims.patch_calls()
+    shims.hold_loop()
     mutation = shims.spec.get("mutation")
     if mutation:
         MUTATIONS[mutation]()
--- a/tests/sockets/large_fleet.py
+++ b/tests/sockets/large_fleet.py
@@ -50,8 +50,8 @@
 class Servers:
     """All servers of the fleet behind one listener on every loopback address."""
 
-    def __init__(self, count, requests):
-        self.count, self.requests = count, requests
+    def __init__(self, count, requests, read_takes=READ_TAKES):
+        self.count, self.requests, self.read_takes = count, requests, read_takes
         self.listener = StreamServer(("0.0.0.0", 0), self._accepted, backlog=1024)
         self.listener.start()
         self.connections, self.open, self.open_most = 0, 0, 0
@@ -114,7 +114,7 @@
         known.attempts.append((time.monotonic(), number))
         if number % 2:
             return self._decode(sock, known)
-        gevent.sleep(READ_TAKES)
+        gevent.sleep(self.read_takes)
         known.state_since, known.state_ended = time.monotonic(), None
         sock.sendall(http.response(202, (), b'{"cached_tokens":0}'))
 
@@ -135,24 +135,39 @@
     """One day: requests at an even rate; one second in, a release replaces a part of the servers.
 
     `rate`: requests a second; `lasts`: seconds; `replaced`: part of the servers that start anew; `hung`: part
-    that answers nothing from then on; `fronts`: processes that the settings name.
+    that answers nothing from then on; `fronts`: processes that the settings name; `busy`: seconds for which
+    the process's event loop is held and then goes on, in turn, from the first request on; `memory`: tokens
+    of a prefill and of a decode server, as the settings tell them; `read_takes`: seconds.
     """
 
-    def __init__(self, servers, rate=50, lasts=4.0, replaced=0.3, hung=0.0, fronts=200, seed=1):
+    def __init__(
+        self,
+        servers,
+        rate=50,
+        lasts=4.0,
+        replaced=0.3,
+        hung=0.0,
+        fronts=200,
+        seed=1,
+        busy=None,
+        memory=None,
+        read_takes=READ_TAKES,
+    ):
         self.requests, self.draw = {}, random.Random("large fleet %d" % seed)
-        self.servers = Servers(servers, self.requests)
+        self.servers = Servers(servers, self.requests, read_takes)
         self.rate, self.lasts, self.replaced, self.hung, self.fronts = rate, lasts, replaced, hung, fronts
+        self.busy, self.memory_told = busy, memory or SETTINGS["family-info"]["memory-tokens"]
         self.agent, self.port, self.popen = Agent(), Ports().take(), None
         self.processor = self.memory = self.descriptors = 0
         self.told_at, self.lines = None, []
 
     def play(self):
         with tempfile.TemporaryDirectory(prefix="large-fleet-") as folder:
-            path = os.path.join(folder, "node.json")
+            path, spec = os.path.join(folder, "node.json"), os.path.join(folder, "spec.json")
             self._write(path)
             try:
                 with open(os.path.join(folder, "log"), "wb") as log:
-                    self._start(path, log)
+                    self._start(path, spec, log)
                 self._play()
                 self._stop()
                 with open(os.path.join(folder, "log")) as log:
@@ -169,6 +184,7 @@
             "grades": [{"name": "chat", "effect": "free", "goal-time-us": 1_000_000, "importance": 1.0}],
             "rules": RULES,
             "peers-total": self.fronts,
+            "family-info": {**SETTINGS["family-info"], "memory-tokens": self.memory_told},
         }
         told = {
             "name": "n0",
@@ -182,8 +198,11 @@
         with open(path, "w") as file:
             json.dump(told, file)
 
-    def _start(self, path, log):
+    def _start(self, path, spec, log):
         command = [sys.executable, "-m", "martenrouter", "node", path]
+        if self.busy is not None:
+            command[2:3] = ["tests.soak.launcher", spec]
+            self._write_shims(spec)
         self.popen = subprocess.Popen(command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         until = time.monotonic() + READY_WITHIN
         while not self._ready():
@@ -191,6 +210,14 @@
                 raise AssertionError("not ready within %d s" % READY_WITHIN)
             gevent.sleep(0.05)
 
+    def _write_shims(self, spec):
+        held, free = self.busy
+        begin = time.monotonic() + 2
+        window = {"from": begin, "to": begin + self.lasts, "held": held, "free": free}
+        told = {"clock": [], "failing": [], "silent": [], "mutation": None, "busy": [window]}
+        with open(spec, "w") as file:
+            json.dump(told, file)
+
     def _ready(self):
         try:
             client = Client(("127.0.0.1", self.port))
