--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -245,6 +245,7 @@
         r.answer = hint / token if hint and (flags or 0) & 1 else max_out / 4  # else a quarter of a ceiling
         r.stage, r.reader, r.clock, r.used, r.out, r.effect = UNREAD, None, 0, 0, {}, None
         r.held, r.banned, r.shunned, r.weights = False, None, None, {}
+        r.failed_at = set()  # ids of engines at which an attempt of it failed
         r.unheard = 0  # microseconds that its state may have waited before this process heard of it
         part = self.settings.get("over_share_importance", 1) if self.over_share(r) else 1
         r.rank = (-part * g.get("importance", 1), r.target, id)
@@ -378,6 +379,8 @@
             if f.arrived:
                 r.clock = r.clock + out[ending] if ending in out else self.now  # its state waits on
             r.stage, r.banned = READ if r.held else UNREAD, f.engine
+        if ending != "read":
+            r.failed_at.add(f.engine.id)
         never_up = min(self.settings.get("connect_within", 1), self.release_within)
         if ending == "unreachable" and elapsed >= never_up:
             r.shunned = f.engine.cell  # others there may be cut off too, and would cost as long
@@ -589,8 +592,9 @@
             ]
             if able:
                 break
-        other = [e for e in able if e is not r.banned and e.cell != r.shunned]
-        return other or [e for e in able if e is not r.banned] or able, strains
+        fresh = [e for e in able if e.id not in r.failed_at]
+        other = [e for e in fresh if e.cell != r.shunned]
+        return other or fresh or [e for e in able if e is not r.banned] or able, strains
 
     def due_test(self, way):
         """One with nothing out is tested in two seconds, in four when it goes on failing."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -521,6 +521,23 @@
                 cancelled = rig.play(after=800_000).all("cancel")
                 self.assertEqual([c for c in cancelled if c[0] == 1], then)
 
+    # Report 87b5f4, related: of thousands of servers few are known, and a third attempt went to the first's.
+    def test_a_request_does_not_go_twice_to_a_server_that_failed_it_while_others_are_left(self):
+        for reads in (True, False):
+            with self.subTest(reads=reads):
+                rows = [
+                    row("%s%d" % (kind[0], n), kind, cell=n // 2) for kind in ("rd", "wr") for n in range(6)
+                ]
+                rig, tried = Rig(rows, forwards_cap=9), []
+                seen, n = rig.ask(1, last=60_000_000), 0
+                if not reads:
+                    seen, n = rig.end(1, 0, "read", seen.all("forward")[0][1]), 1
+                for n in range(n, n + 4):
+                    ((_, engine, _),) = seen.all("forward")
+                    tried.append(engine)
+                    seen = rig.end(1, n, "cancelled", engine)
+                self.assertEqual(len(set(tried)), 4, tried)
+
     def test_states_that_have_not_landed_count_as_pending(self):
         rig = Rig(self.ROWS, release_within=60_000_000)
         home = self.home(rig)
