A choice looks at 100 servers, and a prefix with several keys has no more homes for it

There prefill servers are more than 64 of 96, so sets of 64 changed choices at the usual size; and a prefix whose homes were spread over several keys got all its homes for each key. Now pools of up to 100 are looked at whole, and homes are shared among the keys.

--- a/martenrouter/policy/servers.py
+++ b/martenrouter/policy/servers.py
@@ -10,7 +10,7 @@
 
 from martenrouter.policy.hashing import point
 
-CANDIDATES = 64  # servers that one choice looks at; the least loaded of them is close to the least of all
+CANDIDATES = 100  # servers that one choice looks at; the least loaded of them is close to the least of all
 REMEMBERED = 400  # sets of candidates that are kept until the list changes
 
 
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -23,6 +23,7 @@
 NEVER_RAN = ("full", "unreachable", "not sent", "read")  # endings that prove a forward had no effect
 FAILED = ("error", "unreachable", "reset", "full")  # endings that speak against an engine
 HELD_UP_ALLOWED = 200_000  # microseconds beyond a state's limit: two thirds of what sockets have more
+HOMES_OF_A_KEY = 32  # of a prefix, in fleets that one set can't hold: a third of the set
 FURTHER = 3  # sets of candidates that are looked at where the first holds nobody who may be sent to
 
 
@@ -551,9 +552,15 @@
     def home(self, r):
         """The key whose engines on the ring read this req. A prefix with more homes than a part of one set
         has several keys, of which the session takes one."""
-        keys = 4 * self.homes(r) // CANDIDATES
+        keys = self.keys(r)
         return "%s %d" % (r.home, draw("key", r.session or r.id) % keys) if keys > 1 else r.home
 
+    def keys(self, r):
+        """How many keys its prefix has, in powers of two as its homes."""
+        if len(self.pool(True)) <= CANDIDATES:
+            return 1
+        return max(self.homes(r) // HOMES_OF_A_KEY, 1)
+
     def near_state(self, r, n):
         """Decode engines in the cell and zone of the state, and where an attempt that may have run allows
         another."""
@@ -797,7 +804,7 @@
             return None, pace.expect(self.now, r.prompt), 0
         rank = r.weights  # drawn once, or held reqs would draw them in each round
         rank.update((e.id, draw(r.home, e.id)) for e in engines if e.id not in rank)
-        homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[: self.homes(r)]
+        homes = sorted(engines, key=lambda e: (-rank[e.id], e.id))[: self.homes(r) // self.keys(r)]
         pick = max(homes, key=lambda e: draw(r.session or r.id, e.id))
         load = self.reading(r.candidates)
         if load[pick.id] > 2 * median(load[e.id] for e in engines) + Pace.BASE / self.fronts:  # clearly over
