--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,7 @@
 
 from martenrouter.lab.processes import Ports
 from martenrouter.wire import http
-from tests.sockets.node_rig import Agent, Client
+from tests.sockets.node_rig import Agent, Client, is_ready
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 READY_WITHIN = 10  # seconds
@@ -169,26 +169,13 @@
     def wait_ready(self):
         until = time.monotonic() + READY_WITHIN
         while time.monotonic() < until and self.popen.poll() is None:
-            if self._is_ready():
+            if is_ready(("127.0.0.1", self.port)):
                 self.is_up = True
                 return True
             gevent.sleep(0.05)
         self.not_ready += 1
         return False
 
-    def _is_ready(self):
-        try:
-            client = Client(("127.0.0.1", self.port))
-        except OSError:
-            return False
-        try:
-            client.send(b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
-            return client.answer()[0] == 200
-        except OSError:
-            return False
-        finally:
-            client.close()
-
     def signal(self, number):
         if self.popen.poll() is None:
             self.popen.send_signal(number)
--- a/tests/sockets/large_fleet.py
+++ b/tests/sockets/large_fleet.py
@@ -20,7 +20,7 @@
 
 from martenrouter.lab.processes import Ports
 from martenrouter.wire import http
-from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Agent, Client, request
+from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Agent, Client, is_ready, request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 READY_WITHIN = 10.0  # seconds, by the page
@@ -231,7 +231,7 @@
             self._write_shims(spec)
         self.popen = subprocess.Popen(command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         until = time.monotonic() + READY_WITHIN
-        while not self._ready():
+        while not is_ready(("127.0.0.1", self.port)):
             if time.monotonic() > until:
                 raise AssertionError("not ready within %d s" % READY_WITHIN)
             gevent.sleep(0.05)
@@ -244,17 +244,6 @@
         with open(spec, "w") as file:
             json.dump(told, file)
 
-    def _ready(self):
-        try:
-            client = Client(("127.0.0.1", self.port))
-        except OSError:
-            return False
-        try:
-            client.send(b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
-            return client.answer()[0] == 200
-        finally:
-            client.close()
-
     def _measure(self):
         with open("/proc/%d/stat" % self.popen.pid) as file:
             fields = file.read().rpartition(")")[2].split()
--- a/tests/sockets/node_rig.py
+++ b/tests/sockets/node_rig.py
@@ -187,6 +187,21 @@
         self.sock.close()
 
 
+def is_ready(address):
+    """Whether the node there answers that it is ready."""
+    try:
+        client = Client(address)
+    except OSError:
+        return False
+    try:
+        client.send(b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        return client.answer()[0] == 200
+    except OSError:
+        return False
+    finally:
+        client.close()
+
+
 def request(id="00000000000000a1", body=BODY, path="/v1/chat/completions", **headers):
     told = {
         "host": "service.internal",
