A configuration that is just being written at a start is read when it is whole

Cause: only errors of the system were waited out at the first read, a file cut off was not. Now it is looked at for 2 s, as at those errors; another fault of the file is told at once as before.

--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -100,11 +100,13 @@
         self.listed(known, "first")
 
     def _first_read(self):
-        """As `_read`; the disk or the table of open files may fail for a moment, and a start is not given up
-        for that."""
+        """As `_read`; the disk or the table of open files may fail for a moment, or the file may just be
+        written, and a start is not given up for that."""
         for _ in range(READ_AGAIN):
             try:
                 return self._read()
+            except codec.CutOff:
+                pass
             except OSError as why:
                 if why.errno not in FAILS_FOR_A_MOMENT:
                     raise
--- a/martenrouter/wire/platform/configuration.py
+++ b/martenrouter/wire/platform/configuration.py
@@ -9,6 +9,10 @@
     """The configuration can't be used: says what, where and the mend."""
 
 
+class CutOff(Unreadable):
+    """The file ends in mid-object: it may just be written."""
+
+
 class Limits(msgspec.Struct):
     sockets: int = 256  # descriptors: the fewest that the platform gives on days that count
     memory_mb: float = 192
@@ -37,7 +41,8 @@
         told = _decoder.decode(data)
         known = members.told(bytes(told.known))
     except msgspec.MsgspecError as why:
-        raise Unreadable(
+        unusable = CutOff if "truncated" in str(why) else Unreadable
+        raise unusable(
             "the configuration is unusable: %s; mend that place, or have the platform write it anew" % why
         )
     except members.BadLine as why:
--- a/tests/sockets/test_system_calls.py
+++ b/tests/sockets/test_system_calls.py
@@ -9,8 +9,10 @@
 from unittest import mock
 
 import gevent
+import structlog
 from gevent import socket as gevent_socket
 
+from martenrouter.node.life import Node
 from tests.sockets.node_rig import SETTINGS, Engine, Rig
 
 
@@ -203,3 +205,13 @@
                     rig = self.pair()
                 self.assertEqual(rig.ask()[0], 200)
                 rig.close()
+
+    # Soak seed 1107: a process was killed while its configuration was being written, and the next one ended.
+    def test_a_configuration_that_is_being_written_at_the_start_is_read_when_it_is_whole(self):
+        rig = self.pair()
+        with open(rig.path) as file:
+            whole = file.read()
+        rig.write(None, whole[: len(whole) * 6 // 10])
+        gevent.spawn_later(0.5, rig.write, None, whole)
+        node = Node(rig.path, structlog.get_logger())
+        self.assertEqual(node.name, "n0")
