--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 
 NODES = "10"
 KEPT = 701  # a seed whose plan has stops, reloads, clock steps and failing calls at once
+DRAINS = 1114  # node 5 is killed, told to stop during an outage of its agent, and held by turns; d1 drains
 # mutation -> (a seed whose plan shows it, what the oracle says)
 CAUGHT = {
     "drops_answers": (700, "got no answer"),
@@ -37,6 +38,11 @@
         [(code, output)] = self.run_at_once([(KEPT, ())])
         self.assertEqual(code, 0, output)
 
+    # Seen once: a send to a server that drains, with an agent silent through a restart.
+    def test_a_seed_with_a_drain_an_outage_and_a_restart_keeps_every_invariant(self):
+        [(code, output)] = self.run_at_once([(DRAINS, ())])
+        self.assertEqual(code, 0, output)
+
     def test_mutations_are_caught(self):
         names = list(CAUGHT)
         for first in range(0, len(names), AT_ONCE):
