--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -191,8 +191,6 @@
     def _cause_stop(self, trouble, then=()):
         """Clients go on using their open connections until the kill."""
         node = self._node(trouble)
-        if not node.is_up:
-            return
         draw = self.stream("talkers %s" % trouble)
         talkers = [gevent.spawn(self._talk, draw, node) for _ in range(TALKERS)]
         gevent.sleep(TALK_EACH)
