Node: log releases of states, unanswered sends behind them, and states held now

What the evidence could not tell: whether a release was decided and answered, and that a send was written and unanswered when its state's limit passed. The look at sends behind states moves to node/held_states.py. No decision changes.

--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -53,6 +53,7 @@
         self.half = False  # part of an event or of a chunk has come
         self.place = None  # (zone, cell) of its engine when it began; see guard.py
         self.arrived = None  # whether its last byte has reached the engine's machine; None: not looked yet
+        self.unanswered_logged = False  # whether the log has it as unanswered at its state's limit
 
 
 class Engines(Lines):
@@ -230,7 +231,7 @@
             self.letting_go -= 1
 
     def _let_go_now(self, id, engine, others, still):
-        asked = [engine] if engine else []
+        asked, begun = [engine] if engine else [], clock.now()
         asked += [other for other in others() if other != engine]
         for n, other in zip(range(LET_GO_TRIES), cycle(asked)):
             with self._releases_out:
@@ -242,6 +243,7 @@
                 answered = self._asked_to_let_go(id, other)
             self.release_ended(other, answered)
             if answered:
+                self.log.info("release_answered", req=id, engine=other, tries=n + 1, took=clock.now() - begun)
                 return
         self.counters["let_go_failed"] += 1
         self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -11,6 +11,7 @@
 from martenrouter.edge.lines import Broke, Stopped
 from martenrouter.node.engines import Forward
 from martenrouter.node.guard import Guard
+from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
 
 # A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
@@ -20,7 +21,6 @@
 # is lost, whether or not it asks for the rest elsewhere. On 15 brink days of a site without such clients no
 # stream that had been silent for 2 s went on
 SILENT_WITHIN = 4_500_000
-ARRIVES_WITHIN = 40_000  # microseconds from the last byte's sending to its arrival; most need one round trip
 LOOKS = 50_000  # microseconds between looks at what no event tells (node/life.py)
 LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
 LEAVES_NOTHING = (
@@ -73,6 +73,7 @@
         )
         self.guard = Guard(settings, counters, log)
         self.load = Load(log, clock.now(), LOOKS)
+        self.states = HeldStates(settings, counters, log)
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = self.guard.phases, {}  # engine -> its phase and kind, as last told
 
@@ -187,8 +188,10 @@
     def let_go(self, id):
         r = self.reqs.get(id)
         if r and r.reader:
-            if r.held_since is not None:
-                self.load.state_waited(clock.now() - r.held_since)
+            held = None if r.held_since is None else clock.now() - r.held_since
+            if held is not None:
+                self.load.state_waited(held)
+            self.log.info("state_released", req=id, reader=r.reader, held=held, attempts_out=len(r.forwards))
             r.holds, r.held_since = False, None
             self._clear(r, AT_ONCE_AND_AGAIN, r.reader)
 
@@ -381,23 +384,10 @@
             r.streams = None
             r.may_have_run.clear()
 
-    def _look_after_sends(self, now):
-        """Tells the policy whether a send behind a read state has arrived, each time that changes."""
-        for f in self.engines.out.values():
-            waits = f.written is not None and not f.began and not f.reads and f.arrived is not True
-            if waits and f.req.reader and now - f.written > ARRIVES_WITHIN:
-                arrived = not f.connection.unsent()
-                if arrived is not f.arrived:
-                    self.counters["sends_not_arrived"] += not arrived
-                    self.log.debug("send_arrival", req=f.req.id, n=f.n, engine=f.engine, arrived=arrived)
-                    if f.arrived is False or not arrived:
-                        self.desk.post("arrival", f.req.id, f.n, arrived)
-                    f.arrived = arrived
-
     def look_after(self, now):
         """What no event tells: a req past its deadline, a stream that has gone silent, a send that does not
         arrive."""
-        self._look_after_sends(now)
+        self.states.look(self.reqs.values(), self.engines.out.values(), self.desk.post, now)
         self.guard.look(self.reqs.values(), now)
         for f in list(self.engines.out.values()):
             if f.began and now - f.heard > (HALF_WITHIN if f.half else SILENT_WITHIN):
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -302,7 +302,10 @@
         )
 
     def _gauges(self):
+        held, oldest = self.states.held(self.reqs.values(), clock.now())
         return {
+            "states_held": held,
+            "state_held_most": oldest,
             "open": len(self.reqs),
             "clients": len(self.door.conns),
             "servers": len(self.phases),
--- /dev/null
+++ b/tests/sockets/node_process.py
@@ -0,0 +1,67 @@
+"""One front node as a process on loopback, with its configuration and log in a folder of its own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import gevent
+
+from martenrouter.edge import clock
+from martenrouter.lab.processes import Ports
+from tests.sockets.node_rig import Client, is_ready
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+READY_WITHIN = 10  # seconds, by the page
+
+
+class NodeProcess:
+    """`folder` takes its files; `members` are those of the list that it starts with."""
+
+    def __init__(self, folder, settings, members, agent, sockets=1024):
+        self.port = Ports().take()
+        self.path, self._log_path = os.path.join(folder, "node.json"), os.path.join(folder, "node.log")
+        self._popen = None
+        told = {
+            "name": "n0",
+            "listen": "127.0.0.1:%d" % self.port,
+            "discovery": agent.address,
+            "seed": "8c1f",
+            "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": {"revision": 1, "complete": True, "members": members},
+        }
+        with open(self.path, "w") as file:
+            json.dump(told, file)
+
+    def start(self):
+        """Until it is ready. Raises AssertionError when it isn't in time."""
+        with open(self._log_path, "ab") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", "martenrouter", "node", self.path],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        until = clock.now() + READY_WITHIN * 1_000_000
+        while not is_ready(("127.0.0.1", self.port)):
+            if clock.now() > until:
+                raise AssertionError("not ready within %d s" % READY_WITHIN)
+            gevent.sleep(0.05)
+
+    def client(self):
+        """Raises OSError where it takes no connection."""
+        return Client(("127.0.0.1", self.port))
+
+    def close(self):
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGKILL)
+            self._popen.wait()
+
+    def lines(self, event):
+        """The log's lines of this event."""
+        with open(self._log_path) as log:
+            told = [json.loads(line) for line in log]
+        return [line for line in told if line["event"] == event]
--- /dev/null
+++ b/tests/sockets/stopped_servers.py
@@ -0,0 +1,294 @@
+"""A front node as a process with decode servers of which most fall silent under open connections: either
+their processes are stopped (SIGSTOP), or what is sent to them is taken on the way and passed on later.
+
+`python -m tests.sockets.stopped_servers` plays each way under each effect and prints what came of it.
+"""
+
+import dataclasses
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from martenrouter.lab.processes import Ports
+from martenrouter.wire import http
+from tests.sockets.node_process import ROOT, NodeProcess
+from tests.sockets.node_rig import SETTINGS, Agent, Engine, request
+from tests.sockets.state_store import StateStore
+
+ANSWER_SLACK = 0.5  # seconds after a request's time from which it is lost, by the page
+HELD_SLACK = 0.3  # seconds beyond the settings' limit for a state, by the page
+TIMEOUT = 2.5  # seconds that a client waits
+READ_TAKES = 0.03  # seconds
+PREFILL, DECODE, SILENT = 4, 5, 4  # servers, and how many of the decode servers fall silent
+WARM_UP = 30  # requests after which the node has open connections to all servers
+EACH = 0.06  # seconds between requests while servers are silent
+SILENT_FOR = 2.0  # seconds
+SERVED, REJECTED = 200, 503
+EFFECTS = {
+    "free": {"effect": "free"},
+    "guarded": {"effect": "guarded", "group": "all", "window-us": 5_000_000},
+    "single_shot": {"effect": "single_shot"},
+}
+PROCESS, PATH = "process", "path"  # what falls silent
+
+
+@dataclasses.dataclass
+class Known:
+    """One request as its client saw it; times are seconds of the monotonic clock."""
+
+    id: str
+    sent: float
+    status: int | None = None
+    whole: bool = False
+    answered: float | None = None
+
+
+class Prefill(Engine):
+    """Reads in a fixed time and leaves a state in the store."""
+
+    def __init__(self, id, store):
+        super().__init__(id, "prefill", script=self._read)
+        self._store = store
+
+    def _read(self, _, sock, call, nth):
+        gevent.sleep(READ_TAKES)
+        self._store.read(call["id"])
+        self.answer(sock, call)
+
+    def _call(self, sock, head, body):
+        if head.method == "DELETE":
+            self._store.release(head.path.rpartition("/")[2])
+        super()._call(sock, head, body)
+
+
+class Path:
+    """What lies before a decode server: while `silent` it takes what is sent and passes it on afterwards."""
+
+    def __init__(self, port):
+        self._target, self.silent = port, False
+        self._listener = StreamServer(("127.0.0.1", 0), self._accepted)
+        self._listener.start()
+
+    @property
+    def port(self):
+        return self._listener.server_port
+
+    def close(self):
+        self._listener.stop()
+
+    def _accepted(self, sock, _):
+        other = socket.create_connection(("127.0.0.1", self._target))
+        back = gevent.spawn(self._pump, other, sock)
+        self._pump(sock, other)
+        back.kill()
+        for end in (sock, other):
+            end.close()
+
+    def _pump(self, source, target):
+        try:
+            while data := source.recv(65536):
+                while self.silent:
+                    gevent.sleep(0.01)
+                target.sendall(data)
+        except OSError:
+            pass  # an end closed
+
+
+class DecodeProcess:
+    """One decode server: its process and the path to it."""
+
+    def __init__(self, number, store):
+        self.id, port = "w%d" % number, Ports().take()
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", "tests.sockets.decode_process", str(port), str(store.port)], cwd=ROOT
+        )
+        self._port, self.path = port, Path(port)
+        self._wait_until_it_listens()
+
+    def _wait_until_it_listens(self):
+        until = time.monotonic() + 10
+        while True:
+            try:
+                return socket.create_connection(("127.0.0.1", self._port)).close()
+            except OSError:
+                if time.monotonic() > until:
+                    raise
+                gevent.sleep(0.05)
+
+    def member(self, through_path):
+        told = Engine.member(_Described(self.id, "decode", 0, 0, "127.0.0.1:0"))
+        port = self.path.port if through_path else self._port
+        return {**told, "host_port": "127.0.0.1:%d" % port}
+
+    def stop(self):
+        os.kill(self._popen.pid, signal.SIGSTOP)
+
+    def go_on(self):
+        os.kill(self._popen.pid, signal.SIGCONT)
+
+    def close(self):
+        self.path.close()
+        if self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+
+
+@dataclasses.dataclass
+class _Described:
+    id: str
+    kind: str
+    cell: int
+    start: int
+    address: str
+
+
+class Run:
+    """`effect`: a key of EFFECTS; `what`: PROCESS or PATH; `cancelling`: as the settings have it; `limit`:
+    seconds for which a state may be held."""
+
+    def __init__(self, effect, what, cancelling=True, limit=0.3):
+        self.effect, self.what, self.limit = effect, what, limit
+        self.requests = []
+        self.settings = {
+            **SETTINGS,
+            "grades": [{"name": "chat", "goal-time-us": 1_000_000, "importance": 1.0, **EFFECTS[effect]}],
+            "family-info": {**SETTINGS["family-info"], "pin-limit-us": int(limit * 1e6)},
+            "policy-limits": {**SETTINGS["policy-limits"], "cancelling": cancelling},
+        }
+        self._folder = tempfile.TemporaryDirectory(prefix="stopped-servers-")
+        self.store, self.agent = StateStore(), Agent()
+        self.prefill = [Prefill("r%d" % n, self.store) for n in range(PREFILL)]
+        self.decode, self.node = [], None
+
+    def play(self):
+        try:
+            self.decode = [DecodeProcess(n, self.store) for n in range(DECODE)]
+            members = [server.member() for server in self.prefill]
+            members += [server.member(self.what == PATH) for server in self.decode]
+            self.node = NodeProcess(self._folder.name, self.settings, members, self.agent)
+            self.node.start()
+            self._play()
+            self.unanswered = self.node.lines("send_unanswered")
+            self.released = self.node.lines("state_released")
+        finally:
+            self._close()
+        return self
+
+    def _play(self):
+        heart = gevent.spawn(self._beat)
+        gevent.joinall([gevent.spawn_later(n * 0.01, self._ask) for n in range(WARM_UP)])
+        gevent.sleep(0.1)
+        self._fall_silent(True)
+        jobs, until = [], time.monotonic() + SILENT_FOR
+        while time.monotonic() < until:
+            jobs.append(gevent.spawn(self._ask))
+            gevent.sleep(EACH)
+        self._fall_silent(False)
+        gevent.joinall(jobs, timeout=TIMEOUT + 2)
+        gevent.sleep(self.limit + HELD_SLACK)
+        heart.kill()
+
+    def _fall_silent(self, silent):
+        for server in self.decode[:SILENT]:
+            if self.what == PATH:
+                server.path.silent = silent
+            elif silent:
+                server.stop()
+            else:
+                server.go_on()
+
+    def _beat(self):
+        while True:
+            gevent.sleep(1)
+            self.agent.raw(http.chunk(b"\n"))
+
+    def _ask(self):
+        known = Known("%016x" % (len(self.requests) + 1), time.monotonic())
+        self.requests.append(known)
+        told = {"x_timeout_ms": str(int(TIMEOUT * 1000)), "x_route_key": "k" + known.id[-2:]}
+        client = self.node.client()
+        try:
+            client.sock.settimeout(TIMEOUT + 2)
+            client.send(request(known.id, **told))
+            known.status = client.answer()[0]
+            known.whole, known.answered = client.last, time.monotonic()
+        except OSError:
+            pass  # no answer in time
+        finally:
+            client.close()
+
+    def _close(self):
+        for server in self.decode:
+            server.close()
+        if self.node is not None:
+            self.node.close()
+        for server in self.prefill:
+            server.server.stop()
+        self.agent.server.stop()
+        self.store.close()
+        self._folder.cleanup()
+
+    # ---- what came of it ----
+
+    def pinned(self):
+        """[(id, seconds)] of states held over the limit."""
+        return self.store.held_over(self.limit + HELD_SLACK)
+
+    def lost(self):
+        """Ids without a whole final answer by half a second after their time."""
+        return [
+            known.id
+            for known in self.requests
+            if not known.whole or known.answered - known.sent > TIMEOUT + ANSWER_SLACK
+        ]
+
+    def repeated(self):
+        """Ids of requests that may not run twice and did, or that were rejected though they had run."""
+        if self.effect != "single_shot":
+            return []
+        runs = {known.id: self.store.taken(known.id) for known in self.requests}
+        return [
+            known.id
+            for known in self.requests
+            if runs[known.id] > 1 or runs[known.id] and known.status == REJECTED
+        ]
+
+    def served(self):
+        return sum(known.status == SERVED for known in self.requests) / len(self.requests)
+
+    def summary(self):
+        return (
+            "%s, %s silent: %d requests, served %.3f, pinned %d, lost %d, repeated %d; longest held %.3f s"
+            % (
+                self.effect,
+                self.what,
+                len(self.requests),
+                self.served(),
+                len(self.pinned()),
+                len(self.lost()),
+                len(self.repeated()),
+                max(state.held(time.monotonic()) for state in self.store.states),
+            )
+        )
+
+
+def main():
+    for what in (PROCESS, PATH):
+        for effect in EFFECTS:
+            for cancelling in (True, False):
+                run = Run(effect, what, cancelling).play()
+                print("cancelling" if cancelling else "no cancelling", run.summary(), flush=True)
+                print(
+                    "    unanswered sends logged: %d, releases: %d" % (len(run.unanswered), len(run.released))
+                )
+
+
+if __name__ == "__main__":
+    main()
