--- a/tests/sockets/node_process.py
+++ b/tests/sockets/node_process.py
@@ -9,7 +9,6 @@
 import gevent
 
 from martenrouter.edge import clock
-from martenrouter.lab.processes import Ports
 from tests.sockets.node_rig import Client, is_ready
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -19,8 +18,8 @@
 class NodeProcess:
     """`folder` takes its files; `members` are those of the list that it starts with."""
 
-    def __init__(self, folder, settings, members, agent, sockets=1024):
-        self.port = Ports().take()
+    def __init__(self, folder, port, settings, members, agent, sockets=1024):
+        self.port = port
         self.path, self._log_path = os.path.join(folder, "node.json"), os.path.join(folder, "node.log")
         self._popen = None
         told = {
--- a/tests/sockets/stopped_servers.py
+++ b/tests/sockets/stopped_servers.py
@@ -31,6 +31,7 @@
 EACH = 0.06  # seconds between requests while servers are silent
 SILENT_FOR = 2.0  # seconds
 SERVED, REJECTED = 200, 503
+PORTS = Ports()  # of this process: runs beside each other never draw the same port
 EFFECTS = {
     "free": {"effect": "free"},
     "guarded": {"effect": "guarded", "group": "all", "window-us": 5_000_000},
@@ -104,8 +105,8 @@
 class DecodeProcess:
     """One decode server: its process and the path to it."""
 
-    def __init__(self, number, store):
-        self.id, port = "w%d" % number, Ports().take()
+    def __init__(self, number, store, ports):
+        self.id, port = "w%d" % number, ports.take()
         self._popen = subprocess.Popen(
             [sys.executable, "-m", "tests.sockets.decode_process", str(port), str(store.port)], cwd=ROOT
         )
@@ -169,10 +170,10 @@
 
     def play(self):
         try:
-            self.decode = [DecodeProcess(n, self.store) for n in range(DECODE)]
+            self.decode = [DecodeProcess(n, self.store, PORTS) for n in range(DECODE)]
             members = [server.member() for server in self.prefill]
             members += [server.member(self.what == PATH) for server in self.decode]
-            self.node = NodeProcess(self._folder.name, self.settings, members, self.agent)
+            self.node = NodeProcess(self._folder.name, PORTS.take(), self.settings, members, self.agent)
             self.node.start()
             self._play()
             self.unanswered = self.node.lines("send_unanswered")
