A read state is released at its limit behind a send that is not answered

Cause: node and policy took bytes that a server's machine had for a call that its process had. Such a send stopped the clock of the state, and its end by cancel, time-out or reset let the clock begin anew.

Fix: only an answer shows that a state was taken (policy/held_states.py). The node tells the policy when a send's bytes are at the server's machine; at the state's limit the policy releases the state and leaves the send out, as a call to release does nothing to a state that a server has taken. Should the attempt end without an answer, or its request be given up, the state is released once more. A clock begins anew only with an answer.

--- a/martenrouter/node/guard.py
+++ b/martenrouter/node/guard.py
@@ -111,12 +111,9 @@
     # ---- held states ----
 
     def look(self, requests, now):
-        """Counts states that were held for too long with no send behind them that may have arrived."""
+        """Counts states that were held for too long, whatever is out for them and not answered."""
         for request in requests:
-            if request.held_since is None or now - request.held_since <= self._held_limit:
-                continue
-            sends = [f for f in request.forwards.values() if f.written is not None and not f.reads]
-            if all(f.arrived is False for f in sends):
+            if request.held_since is not None and now - request.held_since > self._held_limit:
                 self.violated(
                     STATE_HELD, req=request.id, engine=request.reader, held=now - request.held_since
                 )
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -13,6 +13,7 @@
 from martenrouter.node.guard import Guard
 from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
+from martenrouter.policy.held_states import SERVER_ANSWERED
 
 # A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
 # this old is spoilt
@@ -73,7 +74,7 @@
         )
         self.guard = Guard(settings, counters, log)
         self.load = Load(log, clock.now(), LOOKS)
-        self.states = HeldStates(settings, counters, log)
+        self.states = HeldStates(counters, log)
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = self.guard.phases, {}  # engine -> its phase and kind, as last told
 
@@ -188,9 +189,11 @@
     def let_go(self, id):
         r = self.reqs.get(id)
         if r and r.reader:
-            held = None if r.held_since is None else clock.now() - r.held_since
+            now = clock.now()
+            held = None if r.held_since is None else now - r.held_since
             if held is not None:
                 self.load.state_waited(held)
+            self.states.released(r, now)
             self.log.info("state_released", req=id, reader=r.reader, held=held, attempts_out=len(r.forwards))
             r.holds, r.held_since = False, None
             self._clear(r, AT_ONCE_AND_AGAIN, r.reader)
@@ -270,7 +273,7 @@
         elif ending == "full" and note == 1:
             # its reader may only be cut off from that writer, and hold the state all the same
             r.holds, r.held_since, r.doubtful = False, None, True
-        elif r.held_since is not None and self._counts(f, ending):
+        elif r.held_since is not None and ending in SERVER_ANSWERED:
             r.held_since = clock.now()  # the state has been waited for, and waits anew
         if (
             not f.reads
@@ -285,26 +288,18 @@
             self._clear(r, LATER_AND_AGAIN)
         self._forget(r)
 
-    @staticmethod
-    def _counts(f, ending):
-        """Whether a call has reached a running server as far as is known, answered or not."""
-        arrived = f.written is not None and f.arrived is not False
-        return arrived and ending not in ("unreachable", "not sent")
-
     def _clear(self, r, after, first=None):
-        """Guards against a call that comes before its engine has seen a connection close: a forward that
-        seems to be out keeps its state from being let go, and a read may end well just then. So it is made
-        twice, and not while a forward is out, which would lose its state. One that has written nothing, or
-        whose bytes have not arrived, has none yet: engines that take no connection, one after the other,
-        would keep a state that a broken read left for as long as they take to fail. `first` is the engine of
-        a read that ended well; where one broke, its engine may be silent, and the policy says whom to ask."""
-        self.engines.let_go(
-            r.id,
-            first,
-            self.desk.front.release_order,
-            after,
-            lambda: not r.holds and all(f.written is None or f.arrived is False for f in r.forwards.values()),
-        )
+        """Releases its state twice, as the first call may come before a server has seen a connection close.
+        It is not done once a later attempt has sent bytes that may have arrived, whose state it would lose;
+        one that connects to servers which take no connection holds nothing up. `first` is the engine of a
+        read that ended well; where one broke, its engine may be silent, and the policy says whom to ask."""
+        used = r.used
+
+        def still():
+            later = [f for f in r.forwards.values() if f.n >= used]
+            return not r.holds and all(f.written is None or f.arrived is False for f in later)
+
+        self.engines.let_go(r.id, first, self.desk.front.release_order, after, still)
 
     def move_streams(self, after, moved, part):
         """Running streams end here, and their clients ask for the rest at another front: those that would end
@@ -387,7 +382,7 @@
     def look_after(self, now):
         """What no event tells: a req past its deadline, a stream that has gone silent, a send that does not
         arrive."""
-        self.states.look(self.reqs.values(), self.engines.out.values(), self.desk.post, now)
+        self.states.look(self.engines.out.values(), self.desk.post, now)
         self.guard.look(self.reqs.values(), now)
         for f in list(self.engines.out.values()):
             if f.began and now - f.heard > (HALF_WITHIN if f.half else SILENT_WITHIN):
--- a/martenrouter/node/held_states.py
+++ b/martenrouter/node/held_states.py
@@ -8,20 +8,16 @@
 
 class HeldStates:
     """Looks at sockets each time the node does, tells the policy, and logs what stands behind a state that is
-    held to its limit."""
+    released."""
 
-    def __init__(self, settings, counters, log):
-        self._limit = settings.get("release_within", 1_000_000)
+    def __init__(self, counters, log):
         self._counters, self._log = counters, log
 
-    def look(self, requests, attempts, post, now):
+    def look(self, attempts, post, now):
         """`attempts`: those that are out; `post`: takes events for the policy."""
         for attempt in list(attempts):
             if self._waits_for_arrival(attempt, now):
                 self._look_at_arrival(attempt, post)
-        for request in requests:
-            if request.held_since is not None and now - request.held_since > self._limit:
-                self._log_unanswered(request, now)
 
     @staticmethod
     def held(requests, now):
@@ -43,14 +39,13 @@
         request = attempt.req
         self._counters["sends_not_arrived"] += not arrived
         self._log.debug("send_arrival", req=request.id, n=attempt.n, engine=attempt.engine, arrived=arrived)
-        if attempt.arrived is False or not arrived:
-            post("arrival", request.id, attempt.n, arrived)
+        post("arrival", request.id, attempt.n, arrived)
         attempt.arrived = arrived
 
-    def _log_unanswered(self, request, now):
-        """One line for each send that is out, written and not answered when its state's limit has passed."""
+    def released(self, request, now):
+        """Its state is released; logs each send that is out for it, written and not answered."""
         for attempt in request.forwards.values():
-            if attempt.written is None or attempt.reads or attempt.unanswered_logged:
+            if attempt.written is None or attempt.reads or attempt.began or attempt.unanswered_logged:
                 continue
             attempt.unanswered_logged = True
             self._counters["sends_unanswered"] += 1
@@ -60,7 +55,6 @@
                 n=attempt.n,
                 engine=attempt.engine,
                 reader=request.reader,
-                held=now - request.held_since,
                 written_ago=now - attempt.written,
                 arrived=attempt.arrived,
                 new_connection=attempt.idled is None,
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -14,6 +14,7 @@
 from zlib import crc32
 
 from martenrouter.policy.hashing import draw, point
+from martenrouter.policy.held_states import clock_after, is_unanswered
 from martenrouter.policy.lateness import Lateness
 from martenrouter.policy.reasons import GiveUp
 from martenrouter.policy.release import TRIES, Releases
@@ -247,6 +248,7 @@
         r.stage, r.reader, r.clock, r.used, r.out, r.effect = UNREAD, None, 0, 0, {}, None
         r.held, r.banned, r.shunned, r.weights = False, None, None, {}
         r.failed_at = set()  # ids of engines at which an attempt of it failed
+        r.lingers = False  # whether its state was released while an attempt was out that may have kept it
         r.unheard = 0  # microseconds that its state may have waited before this process heard of it
         part = self.settings.get("over_share_importance", 1) if self.over_share(r) else 1
         r.rank = (-part * g.get("importance", 1), r.target, id)
@@ -318,13 +320,13 @@
         f.started = True
         self.ended_waiting(f)
         self.learn(f, elapsed)
-        r.held = False
+        r.held = r.lingers = False
         self.live.pop(id, None)
         r.stage = max(r.stage, STARTED)
 
     def arrival(self, id, n, arrived):
-        """Whether the last byte of a forward has reached its engine's machine; told where it has not, and
-        when it has after that."""
+        """Whether the last byte of a decode attempt has reached its server's machine; told each time that
+        changes, and never on the simulator."""
         r = self.reqs.get(id)
         f = r and r.out.get(n)
         if f:
@@ -367,7 +369,10 @@
             self.answers(f.engine)
         if r.held and missed:
             self.let_go(r)  # its reader may only be cut off from that writer, and hold it all the same
-        r.held = r.held and ending != "done"
+        elif r.lingers and not (f.reads or f.started or missed or ending == "done"):
+            self.let_go(r)  # the attempt may have kept it from being released, and leaves it with its end
+        if ending == "done":
+            r.held = r.lingers = False
         if final or r.stage >= STARTED:
             return self.finish(r) if final or r.stage == ENDED else None
         if ending == "read":
@@ -376,9 +381,7 @@
         elif f.reads:
             r.stage, r.banned = UNREAD, f.engine
         else:
-            out = {"unreachable": 0, "not sent": 0, "reset": self.now - f.sent}  # may never have come there:
-            if f.arrived:
-                r.clock = r.clock + out[ending] if ending in out else self.now  # its state waits on
+            r.clock = clock_after(r.clock, self.now, f.sent, ending, exact=came is None)
             r.stage, r.banned = READ if r.held else UNREAD, f.engine
         if ending != "read":
             r.failed_at.add(f.engine.id)
@@ -455,7 +458,7 @@
             self.out.cancel(f.req.id, f.n)
 
     def let_go(self, r):
-        r.held = False
+        r.held = r.lingers = False
         self.out.let_go(r.id)
 
     def release_ended(self, engine_id, answered):
@@ -480,7 +483,7 @@
             if not (f.started or f.cancelled) and self.now - f.sent > f.expected:
                 self.in_vain(f)
             self.cancel(f)
-        if r.held:
+        if r.held or r.lingers:
             self.let_go(r)
             # one that can't be cancelled may keep the state and leave it: let go again with its outcome
             r.held = any(not f.cancelled for f in r.out.values())
@@ -678,7 +681,7 @@
     def send(self, r, engine, reads, link=None, roomy=True):
         f = Record()
         f.req, f.n, f.engine, f.sent, f.reads, f.link = r, r.used, engine, self.now, reads, link
-        f.started, f.cancelled, f.roomy, f.arrived = False, False, roomy, True
+        f.started, f.cancelled, f.roomy, f.arrived = False, False, roomy, None
         f.zone, f.cell = engine.zone, engine.cell  # where it ran, wherever the list has that id later
         f.cost = 0 if link else self.cost(engine, r)  # a mixed engine that gets no state reads as well
         f.tokens = f.cost if reads else r.prompt + r.answer
@@ -724,10 +727,13 @@
                 late = GiveUp.TARGET if missed else GiveUp.NOT_REPEATABLE
                 self.give_up(r, GiveUp.DEADLINE if self.now >= self.answer_by(r) else late)
                 continue
-            stuck = [f for f in r.out.values() if not (f.arrived or f.reads or f.started or f.cancelled)]
+            stuck = [f for f in r.out.values() if f.arrived is False and not (f.started or f.cancelled)]
             if stuck and r.held and self.now >= self.release_at(r):
                 self.abandon(r, stuck)
                 continue
+            if r.held and self.now >= self.limit_at(r) and any(map(is_unanswered, r.out.values())):
+                self.let_go(r)  # harmless where the server has taken it: nothing waits for it any more then
+                r.lingers = True
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
             for f in r.out.values():
@@ -886,7 +892,13 @@
 
     def release_at(self, r):
         # shortly before: two rounds and a tenth of the limit; a long one holds no longer than the target
-        limit = min(self.release_within, r.target - r.arrived)
+        return self.before_limit(r, min(self.release_within, r.target - r.arrived))
+
+    def limit_at(self, r):
+        """When its state has to be released at the latest, whatever is out for it."""
+        return self.before_limit(r, self.release_within)
+
+    def before_limit(self, r, limit):
         return r.clock + max(limit - 2 * self.round_time - limit // 10 - self.late - r.unheard, 0)
 
     def way(self, r, engine):
