--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 import signal
 import struct
 import subprocess
@@ -28,10 +29,11 @@
 
 
 class Proxy:
-    """Passes connections on to a server; resets, refuses or slows them."""
+    """Passes connections on to a server; resets, refuses, slows or holds them."""
 
     def __init__(self, server):
         self.server, self.pairs, self.delay, self.refuses_until = server, set(), 0.0, 0.0
+        self.holds_until = 0.0  # what is sent to the server is taken here and passed on then
         self.listener = StreamServer(("127.0.0.1", 0), self._accepted)
         self.listener.start()
 
@@ -60,6 +62,8 @@
             while data := source.recv(65536):
                 if self.delay:
                     gevent.sleep(self.delay)
+                if source is pair[0] and not self._held(source):
+                    return  # its sender gave it up meanwhile: the finally clause ends the pair
                 target.sendall(data)
             target.shutdown(socket.SHUT_WR) if source is pair[1] else target.close()
         except OSError:
@@ -68,6 +72,17 @@
             if source is pair[0]:
                 self._end(pair)
 
+    def _held(self, source):
+        """Holds what came while that is to be; whether its sender still has the connection open then."""
+        held = time.monotonic() < self.holds_until
+        while time.monotonic() < self.holds_until:
+            gevent.sleep(0.01)
+        if not held:
+            return True
+        look = select.poll()
+        look.register(source.fileno(), select.POLLRDHUP)
+        return not look.poll(0)
+
     def _end(self, pair):
         if pair in self.pairs:
             self.pairs.discard(pair)
--- a/tests/soak/launcher.py
+++ b/tests/soak/launcher.py
@@ -181,6 +181,14 @@
     Hands.let_go = Hands._clear = lambda *_: None
 
 
+def counts_untaken_sends():
+    from martenrouter import rules
+    from martenrouter.node.guard import Guard
+
+    rules.is_unanswered = lambda attempt: False
+    Guard.look = lambda *_: None  # the oracle has to see it, not the node's own check
+
+
 def believes_the_wall_clock():
     from martenrouter.node.server_starts import ServerStarts
 
@@ -197,6 +205,7 @@
         sends_to_draining,
         floods_cold_servers,
         holds_states,
+        counts_untaken_sends,
         believes_the_wall_clock,
     )
 }
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -50,6 +50,9 @@
 
 # drawn apart from those above, so that these stay what a seed drew before: kind -> most in one plan
 FURTHER_KINDS = {"signal_series": 2, "crowd": 1, "busy": 2}
+# drawn apart again: servers that take nothing of what their machines have
+MOST_UNTAKEN = 3
+UNTAKEN = (0.5, 2.5)  # seconds
 CROWD = (0.5, 2.0)  # seconds for which a crowd of idle clients stays
 BUSY = ((0.05, 0.15), (0.05, 0.2))  # seconds for which an event loop is held and goes on, drawn between these
 
@@ -61,9 +64,16 @@
     draw = random.Random("%d further" % seed)
     for kind, most in FURTHER_KINDS.items():
         troubles += [_further(draw, kind, nodes) for _ in range(draw.randint(0, most))]
+    draw = random.Random("%d untaken" % seed)
+    troubles += [_untaken(draw, servers) for _ in range(draw.randint(0, MOST_UNTAKEN))]
     return sorted(troubles, key=lambda trouble: trouble.at)
 
 
+def _untaken(draw, servers):
+    at, lasts = draw.uniform(0.2, DURATION - 1), draw.uniform(*UNTAKEN)
+    return Trouble("untaken", round(at, 3), draw.randrange(servers), round(lasts, 3))
+
+
 def _further(draw, kind, nodes):
     at, to, lasts, detail = draw.uniform(0.2, DURATION - 1), draw.randrange(nodes), 0.0, ()
     if kind == "crowd":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -265,6 +265,10 @@
     def _cause_links_refused(self, trouble):
         self.processes.proxies[trouble.to].refuses_until = time.monotonic() + trouble.lasts
 
+    def _cause_untaken(self, trouble):
+        proxy = self.processes.proxies[trouble.to]
+        proxy.holds_until = max(proxy.holds_until, time.monotonic() + trouble.lasts)
+
     def _cause_links_slow(self, trouble):
         proxy = self.processes.proxies[trouble.to]
         proxy.delay = 0.02
--- a/tests/sockets/large_fleet.py
+++ b/tests/sockets/large_fleet.py
@@ -45,16 +45,12 @@
     state_since: float | None = None
     state_ended: float | None = None
     attempts: list = dataclasses.field(default_factory=list)
-    # [from, to] of calls for its state at running servers that don't answer: while they are out they count
-    hung_calls: list = dataclasses.field(default_factory=list)
 
     def held(self):
-        """The longest span, in seconds, in which nothing came for its state that counts."""
+        """Seconds for which its state was neither taken nor released."""
         if self.state_since is None:
             return 0.0
-        begins = [begin for begin, _ in self.hung_calls] + [self.state_ended or float("inf")]
-        ends = [self.state_since] + [end or float("inf") for _, end in self.hung_calls]
-        return max(begin - end for end, begin in zip(ends, begins))
+        return (self.state_ended or float("inf")) - self.state_since
 
 
 class Servers:
@@ -115,35 +111,25 @@
                     self._answer(sock, number, head)
 
     def _answer(self, sock, number, head):
+        if number in self.hung:
+            return self._hang(sock)
         if head.method == "DELETE":
             self._released(head.path.rpartition("/")[2])
-            return self._hang(sock) if number in self.hung else sock.sendall(http.response(204, ()))
+            return sock.sendall(http.response(204, ()))
         known = self.requests[head.headers["x-request-id"]]
         known.attempts.append((time.monotonic(), number))
-        if number in self.hung:
-            return self._arrives_at_hung(sock, known, number)
         if number % 2:
             return self._decode(sock, known)
         gevent.sleep(self.read_takes)
-        known.state_since, known.state_ended, known.hung_calls = time.monotonic(), None, []
+        known.state_since, known.state_ended = time.monotonic(), None
         sock.sendall(http.response(202, (), b'{"cached_tokens":0}'))
 
     @staticmethod
     def _hang(sock):
-        """Until the node closes the connection."""
+        """A server that hangs takes nothing: until the node closes the connection."""
         while sock.recv(65536):
             pass
 
-    def _arrives_at_hung(self, sock, known, number):
-        """A call counts when it has reached a running server, answered or not; the state stays."""
-        call = [time.monotonic(), None]
-        if number % 2 and known.state_since is not None and known.state_ended is None:
-            known.hung_calls.append(call)
-        try:
-            self._hang(sock)
-        finally:
-            call[1] = time.monotonic()
-
     def _decode(self, sock, known):
         if known.state_since is None or known.state_ended is not None:
             return sock.sendall(http.response(410, (("x-not-processed", "1"),)))
--- a/tests/sockets/test_large_fleets.py
+++ b/tests/sockets/test_large_fleets.py
@@ -33,5 +33,14 @@
                 self.assertLessEqual(needed, allowed, self.both)
 
 
+class SilentServers(unittest.TestCase):
+    # Report dec766: the servers of this rig counted calls that a silent one never took.
+    def test_no_state_is_held_where_a_quarter_of_the_servers_takes_nothing(self):
+        for servers in (40, USUAL):
+            with self.subTest(servers=servers):
+                run = Run(servers, hung=0.25, replaced=0.0).play()
+                self.assertEqual((run.lost(), run.pinned()), ([], []), run.summary())
+
+
 if __name__ == "__main__":
     unittest.main()
