--- a/tests/sockets/large_fleet.py
+++ b/tests/sockets/large_fleet.py
@@ -5,11 +5,8 @@
 """
 
 import dataclasses
-import json
 import os
 import random
-import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -20,10 +17,9 @@
 
 from martenrouter.lab.processes import Ports
 from martenrouter.wire import http
-from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Agent, Client, is_ready, request
+from tests.sockets.node_process import NodeProcess
+from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Agent, request
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-READY_WITHIN = 10.0  # seconds, by the page
 ANSWER_SLACK = 0.5  # seconds after a request's time from which it is lost, by the page
 HELD_SLACK = 0.3  # seconds beyond the settings' limit for a state, by the page
 READ_TAKES, FIRST_TOKEN_TAKES = 0.02, 0.03  # seconds
@@ -169,87 +165,56 @@
         self.servers = Servers(servers, self.requests, read_takes)
         self.rate, self.lasts, self.replaced, self.hung, self.fronts = rate, lasts, replaced, hung, fronts
         self.busy, self.memory_told = busy, memory or SETTINGS["family-info"]["memory-tokens"]
-        self.agent, self.port, self.popen = Agent(), Ports().take(), None
+        self.agent, self.node = Agent(), None
         self.processor = self.memory = self.descriptors = 0
         self.told_at, self.lines = None, []
 
     def play(self):
         with tempfile.TemporaryDirectory(prefix="large-fleet-") as folder:
-            path, spec = os.path.join(folder, "node.json"), os.path.join(folder, "spec.json")
-            self._write(path)
+            members = self.servers.members()
+            self.node = NodeProcess(
+                folder, Ports().take(), self._settings(), members, self.agent, self._shims()
+            )
             try:
-                with open(os.path.join(folder, "log"), "wb") as log:
-                    self._start(path, spec, log)
+                self.node.start()
                 self._play()
-                self._stop()
-                with open(os.path.join(folder, "log")) as log:
-                    self.lines = [json.loads(line) for line in log]
+                self._measure()
+                self.node.stop(TIMEOUT + 2)
+                self.lines = self.node.lines()
             finally:
                 self._close()
         return self
 
     # ---- the process ----
 
-    def _write(self, path):
-        settings = {
+    def _settings(self):
+        return {
             **SETTINGS,
             "grades": [{"name": "chat", "effect": "free", "goal-time-us": 1_000_000, "importance": 1.0}],
             "rules": RULES,
             "peers-total": self.fronts,
             "family-info": {**SETTINGS["family-info"], "memory-tokens": self.memory_told},
         }
-        told = {
-            "name": "n0",
-            "listen": "127.0.0.1:%d" % self.port,
-            "discovery": self.agent.address,
-            "seed": "8c1f",
-            "settings": settings,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"revision": 1, "complete": True, "members": self.servers.members()},
-        }
-        with open(path, "w") as file:
-            json.dump(told, file)
-
-    def _start(self, path, spec, log):
-        command = [sys.executable, "-m", "martenrouter", "node", path]
-        if self.busy is not None:
-            command[2:3] = ["tests.soak.launcher", spec]
-            self._write_shims(spec)
-        self.popen = subprocess.Popen(command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-        until = time.monotonic() + READY_WITHIN
-        while not is_ready(("127.0.0.1", self.port)):
-            if time.monotonic() > until:
-                raise AssertionError("not ready within %d s" % READY_WITHIN)
-            gevent.sleep(0.05)
-
-    def _write_shims(self, spec):
+
+    def _shims(self):
+        if self.busy is None:
+            return None
         held, free = self.busy
         begin = time.monotonic() + 2
         window = {"from": begin, "to": begin + self.lasts, "held": held, "free": free}
-        told = {"clock": [], "failing": [], "silent": [], "mutation": None, "busy": [window]}
-        with open(spec, "w") as file:
-            json.dump(told, file)
+        return {"clock": [], "failing": [], "silent": [], "mutation": None, "busy": [window]}
 
     def _measure(self):
-        with open("/proc/%d/stat" % self.popen.pid) as file:
+        with open("/proc/%d/stat" % self.node.pid) as file:
             fields = file.read().rpartition(")")[2].split()
         self.processor = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-        with open("/proc/%d/status" % self.popen.pid) as file:
+        with open("/proc/%d/status" % self.node.pid) as file:
             peak = next(line for line in file if line.startswith("VmHWM"))
         self.memory = int(peak.split()[1]) / 1024
-        self.descriptors = max(self.descriptors, len(os.listdir("/proc/%d/fd" % self.popen.pid)))
-
-    def _stop(self):
-        self._measure()
-        self.popen.send_signal(signal.SIGTERM)
-        until = time.monotonic() + TIMEOUT + 2
-        while self.popen.poll() is None and time.monotonic() < until:
-            gevent.sleep(0.02)
+        self.descriptors = max(self.descriptors, len(os.listdir("/proc/%d/fd" % self.node.pid)))
 
     def _close(self):
-        if self.popen is not None and self.popen.poll() is None:
-            self.popen.kill()
-            self.popen.wait()
+        self.node.close()
         self.agent.server.stop()
         self.servers.listener.stop()
 
@@ -299,7 +264,7 @@
             "x_attrs": "prefix=p%d,prompt_len=2000,prefix_len=500,max_out=50" % self.draw.randrange(8),
         }
         try:
-            client = Client(("127.0.0.1", self.port))
+            client = self.node.client()
         except OSError:
             return
         try:
--- a/tests/sockets/node_process.py
+++ b/tests/sockets/node_process.py
@@ -16,10 +16,11 @@
 
 
 class NodeProcess:
-    """`folder` takes its files; `members` are those of the list that it starts with."""
+    """`folder` takes its files; `members` are those of the list that it starts with; `shims` is what
+    `tests.soak.launcher` is told, None for a process without."""
 
-    def __init__(self, folder, port, settings, members, agent, sockets=1024):
-        self.port = port
+    def __init__(self, folder, port, settings, members, agent, shims=None, sockets=1024):
+        self.port, self._arguments = port, ["martenrouter"]
         self.path, self._log_path = os.path.join(folder, "node.json"), os.path.join(folder, "node.log")
         self._popen = None
         told = {
@@ -33,12 +34,21 @@
         }
         with open(self.path, "w") as file:
             json.dump(told, file)
+        if shims is not None:
+            spec = os.path.join(folder, "shims.json")
+            with open(spec, "w") as file:
+                json.dump(shims, file)
+            self._arguments = ["tests.soak.launcher", spec]
+
+    @property
+    def pid(self):
+        return self._popen.pid
 
     def start(self):
         """Until it is ready. Raises AssertionError when it isn't in time."""
         with open(self._log_path, "ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", "martenrouter", "node", self.path],
+                [sys.executable, "-m", *self._arguments, "node", self.path],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -54,13 +64,20 @@
         """Raises OSError where it takes no connection."""
         return Client(("127.0.0.1", self.port))
 
+    def stop(self, within):
+        """SIGTERM, and until it has ended, `within` seconds at most."""
+        self._popen.send_signal(signal.SIGTERM)
+        until = clock.now() + within * 1_000_000
+        while self._popen.poll() is None and clock.now() < until:
+            gevent.sleep(0.02)
+
     def close(self):
         if self._popen is not None and self._popen.poll() is None:
             self._popen.send_signal(signal.SIGKILL)
             self._popen.wait()
 
-    def lines(self, event):
-        """The log's lines of this event."""
+    def lines(self, event=None):
+        """The log's lines, those of one event where it is named."""
         with open(self._log_path) as log:
             told = [json.loads(line) for line in log]
-        return [line for line in told if line["event"] == event]
+        return [line for line in told if event in (None, line["event"])]
