--- a/martenrouter/edge/rounds.py
+++ b/martenrouter/edge/rounds.py
@@ -28,6 +28,10 @@
         self.inbox.append((call, arguments))
         self.came.set()
 
+    def post_quietly(self, call, *arguments):
+        """It is taken with the next round and makes none."""
+        self.inbox.append((call, arguments))
+
     def wake(self, mark, after):
         self.timers.add(clock.now() + after, mark)
 
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -382,7 +382,7 @@
     def look_after(self, now):
         """What no event tells: a req past its deadline, a stream that has gone silent, a send that does not
         arrive."""
-        self.states.look(self.engines.out.values(), self.desk.post, now)
+        self.states.look(self.engines.out.values(), self.desk, now)
         self.guard.look(self.reqs.values(), now)
         for f in list(self.engines.out.values()):
             if f.began and now - f.heard > (HALF_WITHIN if f.half else SILENT_WITHIN):
--- a/martenrouter/node/held_states.py
+++ b/martenrouter/node/held_states.py
@@ -13,11 +13,11 @@
     def __init__(self, counters, log):
         self._counters, self._log = counters, log
 
-    def look(self, attempts, post, now):
-        """`attempts`: those that are out; `post`: takes events for the policy."""
+    def look(self, attempts, desk, now):
+        """`attempts`: those that are out; `desk`: takes events for the policy."""
         for attempt in list(attempts):
             if self._waits_for_arrival(attempt, now):
-                self._look_at_arrival(attempt, post)
+                self._look_at_arrival(attempt, desk)
 
     @staticmethod
     def held(requests, now):
@@ -31,7 +31,7 @@
             return False
         return attempt.arrived is not True and now - attempt.written > ARRIVES_WITHIN
 
-    def _look_at_arrival(self, attempt, post):
+    def _look_at_arrival(self, attempt, desk):
         """Tells the policy whether a send behind a read state has arrived, each time that changes."""
         arrived = not attempt.connection.unsent()
         if arrived is attempt.arrived:
@@ -39,6 +39,8 @@
         request = attempt.req
         self._counters["sends_not_arrived"] += not arrived
         self._log.debug("send_arrival", req=request.id, n=attempt.n, engine=attempt.engine, arrived=arrived)
+        # the usual news, that it has arrived, is needed only near the state's limit: no round for it alone
+        post = desk.post_quietly if arrived and attempt.arrived is None else desk.post
         post("arrival", request.id, attempt.n, arrived)
         attempt.arrived = arrived
 
