--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,7 +1,9 @@
 """Front nodes as processes, each with an agent of its own, and a proxy before each server."""
 
+import collections
 import json
 import os
+import re
 import select
 import signal
 import struct
@@ -23,6 +25,7 @@
 KILLED_AFTER = 3.7  # seconds after SIGTERM: the longest deadline of these settings, and 0.7
 SERIES = 0.1  # seconds between signals in series
 CROWD = 150  # idle clients at once: more than a node of these settings takes
+REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: *(\w+)\r\n")
 RESET = struct.pack("ii", 1, 0)
 TOLD_WITHIN = 6.0  # seconds after which news that an agent has count as told, watch or no watch
 HEARTBEAT = 1.0  # seconds between empty lines of an agent
@@ -34,6 +37,7 @@
     def __init__(self, server):
         self.server, self.pairs, self.delay, self.refuses_until = server, set(), 0.0, 0.0
         self.holds_until = 0.0  # what is sent to the server is taken here and passed on then
+        self.came = collections.defaultdict(list)  # request's id -> when calls for it came here
         self.listener = StreamServer(("127.0.0.1", 0), self._accepted)
         self.listener.start()
 
@@ -60,6 +64,8 @@
     def _pump(self, pair, source, target):
         try:
             while data := source.recv(65536):
+                if source is pair[0]:
+                    self._note(data)
                 if self.delay:
                     gevent.sleep(self.delay)
                 if source is pair[0] and not self._held(source):
@@ -72,6 +78,14 @@
             if source is pair[0]:
                 self._end(pair)
 
+    def _note(self, data):
+        for id in REQUEST_ID.findall(data):
+            self.came[id.decode()].append(time.monotonic())
+
+    def came_before(self, id, at):
+        """When the call for the request that was taken then came here; that time where it is not known."""
+        return max((came for came in self.came[id] if came <= at), default=at)
+
     def _held(self, source):
         """Holds what came while that is to be; whether its sender still has the connection open then."""
         held = time.monotonic() < self.holds_until
@@ -79,6 +93,8 @@
             gevent.sleep(0.01)
         if not held:
             return True
+        if source.fileno() < 0:
+            return False  # the pair was ended
         look = select.poll()
         look.register(source.fileno(), select.POLLRDHUP)
         return not look.poll(0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -291,13 +291,17 @@
     def judge(self, pin_limit):
         played = {id: known for id, known in self.requests.items() if known.sent}
         self.requests = {id: known for id, known in played.items() if not self._cut_short(known)}
+        proxies = {proxy.server.id: proxy for proxy in self.processes.proxies}
+        for known in self.requests.values():
+            for attempt in known.attempts:
+                attempt.came = proxies[attempt.server].came_before(known.id, attempt.begun)
         super().judge(pin_limit)
 
     def judge_drains(self):
         for known in self.requests.values():
             for attempt in known.attempts:
                 had = known.node.had.get(attempt.server)
-                if had is not None and attempt.begun > had + GRACE + self.held:
+                if had is not None and attempt.sent_at > had + GRACE + self.held:
                     self.broken("%s was begun at %s, which drains" % (known.id, attempt.server))
 
     def judge_slow_start(self):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
     "holds_states": (700, "neither taken nor let go of"),
     "floods_cold_servers": (700, "came back cold"),
     "repeats_effects": (701, "was begun again"),
+    "counts_untaken_sends": (783, "neither taken nor let go of"),
 }
 AT_ONCE = 2  # soaks beside each other: more would measure the machine
 
--- a/tests/sockets/fault_scenarios.py
+++ b/tests/sockets/fault_scenarios.py
@@ -36,7 +36,8 @@
 @dataclasses.dataclass
 class Attempt:
     """One request as a server got it: `begun` when its last byte was there, `ended` when the server was done
-    with it or its connection closed, `ran` whether it may have had an effect."""
+    with it or its connection closed, `ran` whether it may have had an effect; `came` when its bytes came to
+    the server's machine, where that was earlier and is noted."""
 
     server: str
     kind: str
@@ -50,6 +51,12 @@
     read: bool = False
     hung_until: float = 0
     finished: bool = False
+    came: float = 0
+
+    @property
+    def sent_at(self):
+        """What the node answers for: not for how long a server leaves it untaken."""
+        return self.came or self.begun
 
 
 @dataclasses.dataclass
@@ -534,12 +541,12 @@
     def _judge_attempts(self, known):
         end = min(at for at in (known.left or 1e12, known.answered or 1e12))
         for attempt in known.attempts:
-            if attempt.begun > end + STARTS_AFTER_END + self.held:
+            if attempt.sent_at > end + STARTS_AFTER_END + self.held:
                 self.broken(
                     "%s was begun at %s %.3f s after its end"
-                    % (known.id, attempt.server, attempt.begun - end)
+                    % (known.id, attempt.server, attempt.sent_at - end)
                 )
-            left = known.sent + known.timeout - attempt.begun
+            left = known.sent + known.timeout - attempt.sent_at
             if attempt.told > max(left, 0.001) + DEADLINE_SLACK + self.held:
                 self.broken(
                     "%s: %s was told %.3f s where %.3f s were left"
@@ -553,7 +560,9 @@
                 continue
             if first is not None and group["effect"] != "free":
                 same = {"all": True, "zone": attempt.zone == first.zone, "cell": attempt.cell == first.cell}
-                in_time = attempt.begun - first.begun <= group.get("window-us", 0) / 1e6 + 0.05 + self.held
+                in_time = (
+                    attempt.sent_at - first.sent_at <= group.get("window-us", 0) / 1e6 + 0.05 + self.held
+                )
                 if group["effect"] == "single_shot" or not same[group["group"]] or not in_time:
                     self.broken("%s (%s) was begun again at %s after %s" % (known.id, group, attempt, first))
             if first is None and attempt.ran:
