A read given up at a silent prefill server is released there when it goes on

What callers saw: nothing; a prefill server whose process is stopped in the middle of reads ends them when it goes on, seconds after the router gave them up, and their states stay there: the calls to release had been answered by other servers long before.

Cause: the close of our own connection was taken for the end at the server, but for 120 ms. Fix: node/owed_releases.py: the server itself gets one call to release that waits; if its answer is late, all that was given up there is released, at once and three times within 0.6 s more. At most a thirty-second of the descriptors, 15 s from the last such read.

--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -13,6 +13,7 @@
 
 from martenrouter.edge import clock
 from martenrouter.edge.lines import Broke, Lines, Stopped
+from martenrouter.node.owed_releases import OwedReleases
 from martenrouter.wire.platform import answers, messages
 from martenrouter.wire.platform.events import BadEvents, Events
 
@@ -67,6 +68,10 @@
         self._releases_out = BoundedSemaphore(max(releases, 1))
         self.release_within = release_within
         self.log, self.out, self.letting_go = log, {}, 0
+        self.state_wanted = lambda id: False  # whether a request waits for a state; set by the node
+        self.owed = OwedReleases(
+            max(releases // 2, 1), self._asked_to_let_go, lambda id: self.state_wanted(id), counters
+        )
 
     def start(self, forward, hear):
         self.out[forward.req.id, forward.n] = forward
@@ -248,10 +253,10 @@
         self.counters["let_go_failed"] += 1
         self.log.warning("let_go_failed", req=id, tries=LET_GO_TRIES)
 
-    def _asked_to_let_go(self, id, engine):
-        connection, clean, until = None, False, clock.now() + LET_GO_WITHIN * 1e6
+    def _asked_to_let_go(self, id, engine, within=LET_GO_WITHIN):
+        connection, clean, until = None, False, clock.now() + within * 1e6
         try:
-            with gevent.Timeout(LET_GO_WITHIN):
+            with gevent.Timeout(within):
                 connection = self._connect(engine, also_left=True)
                 connection.sendall(
                     answers.let_go(
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -270,6 +270,8 @@
             r.holds = ending == "read"
             r.held_since = came if r.holds else None
             r.doubtful = r.doubtful or ending not in LEAVES_NOTHING
+            if ending in ("cancelled", "timed out") and f.written is not None:
+                self.engines.owed.owe(r.id, f.engine)  # nothing has shown that its server is done with it
         elif ending == "full" and note == 1:
             # its reader may only be cut off from that writer, and hold the state all the same
             r.holds, r.held_since, r.doubtful = False, None, True
@@ -301,6 +303,13 @@
 
         self.engines.let_go(r.id, first, self.desk.front.release_order, after, still)
 
+    def state_wanted(self, id):
+        """Whether a state of the request waits to be taken, or a read of it is out."""
+        r = self.reqs.get(id)
+        if r is None or r.streams is not None:
+            return False
+        return r.holds or any(f.reads for f in r.forwards.values())
+
     def move_streams(self, after, moved, part):
         """Running streams end here, and their clients ask for the rest at another front: those that would end
         after the time
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -75,6 +75,7 @@
         self.engines.release_ended = lambda engine, answered: self.desk.post(
             "release_ended", engine, answered
         )
+        self.engines.state_wanted = self.state_wanted
         groups = {group.get("name") for group in plain["groups"]}
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
         self.door = Door(
--- a/tests/sockets/decode_process.py
+++ b/tests/sockets/server_process.py
@@ -1,7 +1,8 @@
-"""A decode server as a process, which can be stopped: `python -m tests.sockets.decode_process PORT STORE`.
+"""A server as a process, which can be stopped: `python -m tests.sockets.server_process KIND PORT STORE`.
 
-It moves each request's state from the store (`state_store.py`) at the port STORE of loopback when it takes
-the request, and answers with a stream, or with 410 where there is no state.
+STORE is the port of a store of states on loopback (`state_store.py`). A prefill server leaves a state there
+when its read ends, whether or not its caller is still connected. A decode server moves a request's state from
+there when it takes the request, and answers with a stream, or with 410 where there is no state.
 """
 
 import sys
@@ -15,11 +16,13 @@
 
 BACKLOG = 1  # connections that wait while it is stopped; further ones never come up
 FIRST_TOKEN_TAKES = 0.03  # seconds
+READ_TAKES = 0.15  # seconds
 FOUND = 200
 
 
-class DecodeServer:
-    def __init__(self, port, store):
+class Server:
+    def __init__(self, kind, port, store):
+        self._answer = self._read if kind == "prefill" else self._decode
         self._store = ("127.0.0.1", store)
         self._server = StreamServer(("127.0.0.1", port), self._accepted, backlog=BACKLOG)
 
@@ -46,7 +49,15 @@
             return sock.sendall(http.response(204, ()))
         if self._given_up(sock):
             return None
-        if self._ask_store("take", head.headers["x-request-id"]) != FOUND:
+        return self._answer(sock, head.headers["x-request-id"])
+
+    def _read(self, sock, id):
+        gevent.sleep(READ_TAKES)
+        self._ask_store("read", id)
+        sock.sendall(http.response(202, (), b'{"cached_tokens":0}'))
+
+    def _decode(self, sock, id):
+        if self._ask_store("take", id) != FOUND:
             return sock.sendall(http.response(410, (("x-not-processed", "1"),)))
         gevent.sleep(FIRST_TOKEN_TAKES)
         return sock.sendall(HEAD + b"".join(map(http.chunk, EVENTS)) + http.chunk(b""))
@@ -78,4 +89,4 @@
 
 
 if __name__ == "__main__":
-    DecodeServer(int(sys.argv[1]), int(sys.argv[2])).run()
+    Server(sys.argv[1], int(sys.argv[2]), int(sys.argv[3])).run()
--- a/tests/sockets/state_store.py
+++ b/tests/sockets/state_store.py
@@ -1,4 +1,4 @@
-"""Read states of stand-in prefill servers, which decode servers in other processes take, with the times of
+"""Read states of stand-in prefill servers, which servers in other processes leave and take, with the times of
 all that happens to them."""
 
 import dataclasses
@@ -78,5 +78,5 @@
         _, what, id = path.split("/")
         if what == "take":
             return 200 if self.take(id) else 404
-        self.release(id)
+        {"read": self.read, "release": self.release}[what](id)
         return 200
--- a/tests/sockets/stopped_servers.py
+++ b/tests/sockets/stopped_servers.py
@@ -1,5 +1,6 @@
-"""A front node as a process with decode servers of which most fall silent under open connections: either
-their processes are stopped (SIGSTOP), or what is sent to them is taken on the way and passed on later.
+"""A front node as a process with servers of which a part falls silent under open connections: decode servers
+whose processes are stopped (SIGSTOP) or to which what is sent is taken on the way and passed on later, or
+prefill servers whose processes are stopped in the middle of reads.
 
 `python -m tests.sockets.stopped_servers` plays each way under each effect and prints what came of it.
 """
@@ -26,7 +27,9 @@
 HELD_SLACK = 0.3  # seconds beyond the settings' limit for a state, by the page
 TIMEOUT = 2.5  # seconds that a client waits
 READ_TAKES = 0.03  # seconds
-PREFILL, DECODE, SILENT = 4, 5, 4  # servers, and how many of the decode servers fall silent
+PREFILL, DECODE = 4, 5  # servers
+SILENT_PREFILL, SILENT_DECODE = 2, 4  # of these, in the runs in which such servers fall silent
+BURST, MID_READ = 16, 0.08  # requests whose reads are out when prefill servers are stopped; seconds before it
 WARM_UP = 30  # requests after which the node has open connections to all servers
 EACH = 0.06  # seconds between requests while servers are silent
 SILENT_FOR = 2.0  # seconds
@@ -37,7 +40,7 @@
     "guarded": {"effect": "guarded", "group": "all", "window-us": 5_000_000},
     "single_shot": {"effect": "single_shot"},
 }
-PROCESS, PATH = "process", "path"  # what falls silent
+PROCESS, PATH, READS = "process", "path", "reads"  # what falls silent
 
 
 @dataclasses.dataclass
@@ -63,6 +66,9 @@
         self._store.read(call["id"])
         self.answer(sock, call)
 
+    def close(self):
+        self.server.stop()
+
     def _call(self, sock, head, body):
         if head.method == "DELETE":
             self._store.release(head.path.rpartition("/")[2])
@@ -102,13 +108,14 @@
             pass  # an end closed
 
 
-class DecodeProcess:
-    """One decode server: its process and the path to it."""
+class ServerProcess:
+    """One server: its process and the path to it."""
 
-    def __init__(self, number, store, ports):
-        self.id, port = "w%d" % number, ports.take()
+    def __init__(self, kind, number, store, ports):
+        self.kind, self.id, port = kind, "%s%d" % (kind[0], number), ports.take()
+        told = [kind, str(port), str(store.port)]
         self._popen = subprocess.Popen(
-            [sys.executable, "-m", "tests.sockets.decode_process", str(port), str(store.port)], cwd=ROOT
+            [sys.executable, "-m", "tests.sockets.server_process", *told], cwd=ROOT
         )
         self._port, self.path = port, Path(port)
         self._wait_until_it_listens()
@@ -123,8 +130,8 @@
                     raise
                 gevent.sleep(0.05)
 
-    def member(self, through_path):
-        told = Engine.member(_Described(self.id, "decode", 0, 0, "127.0.0.1:0"))
+    def member(self, through_path=False):
+        told = Engine.member(_Described(self.id, self.kind, 0, 0, "127.0.0.1:0"))
         port = self.path.port if through_path else self._port
         return {**told, "host_port": "127.0.0.1:%d" % port}
 
@@ -151,8 +158,8 @@
 
 
 class Run:
-    """`effect`: a key of EFFECTS; `what`: PROCESS or PATH; `cancelling`: as the settings have it; `limit`:
-    seconds for which a state may be held."""
+    """`effect`: a key of EFFECTS; `what`: PROCESS, PATH or READS; `cancelling`: as the settings have it;
+    `limit`: seconds for which a state may be held."""
 
     def __init__(self, effect, what, cancelling=True, limit=0.3):
         self.effect, self.what, self.limit = effect, what, limit
@@ -165,14 +172,14 @@
         }
         self._folder = tempfile.TemporaryDirectory(prefix="stopped-servers-")
         self.store, self.agent = StateStore(), Agent()
-        self.prefill = [Prefill("r%d" % n, self.store) for n in range(PREFILL)]
-        self.decode, self.node = [], None
+        self.prefill, self.decode, self.node = [], [], None
 
     def play(self):
         try:
-            self.decode = [DecodeProcess(n, self.store, PORTS) for n in range(DECODE)]
+            self.prefill = [self._prefill(n) for n in range(PREFILL)]
+            self.decode = [ServerProcess("decode", n, self.store, PORTS) for n in range(DECODE)]
             members = [server.member() for server in self.prefill]
-            members += [server.member(self.what == PATH) for server in self.decode]
+            members += [server.member(through_path=self.what == PATH) for server in self.decode]
             self.node = NodeProcess(self._folder.name, PORTS.take(), self.settings, members, self.agent)
             self.node.start()
             self._play()
@@ -182,12 +189,20 @@
             self._close()
         return self
 
+    def _prefill(self, number):
+        if self.what == READS:
+            return ServerProcess("prefill", number, self.store, PORTS)
+        return Prefill("r%d" % number, self.store)
+
     def _play(self):
         heart = gevent.spawn(self._beat)
         gevent.joinall([gevent.spawn_later(n * 0.01, self._ask) for n in range(WARM_UP)])
         gevent.sleep(0.1)
-        self._fall_silent(True)
         jobs, until = [], time.monotonic() + SILENT_FOR
+        if self.what == READS:
+            jobs += [gevent.spawn(self._ask) for _ in range(BURST)]
+            gevent.sleep(MID_READ)
+        self._fall_silent(True)
         while time.monotonic() < until:
             jobs.append(gevent.spawn(self._ask))
             gevent.sleep(EACH)
@@ -197,7 +212,8 @@
         heart.kill()
 
     def _fall_silent(self, silent):
-        for server in self.decode[:SILENT]:
+        silent_servers = self.prefill[:SILENT_PREFILL] if self.what == READS else self.decode[:SILENT_DECODE]
+        for server in silent_servers:
             if self.what == PATH:
                 server.path.silent = silent
             elif silent:
@@ -226,12 +242,10 @@
             client.close()
 
     def _close(self):
-        for server in self.decode:
+        for server in self.prefill + self.decode:
             server.close()
         if self.node is not None:
             self.node.close()
-        for server in self.prefill:
-            server.server.stop()
         self.agent.server.stop()
         self.store.close()
         self._folder.cleanup()
@@ -281,7 +295,7 @@
 
 
 def main():
-    for what in (PROCESS, PATH):
+    for what in (PROCESS, PATH, READS):
         for effect in EFFECTS:
             for cancelling in (True, False):
                 run = Run(effect, what, cancelling).play()
--- a/tests/sockets/test_stopped_servers.py
+++ b/tests/sockets/test_stopped_servers.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from tests.sockets.stopped_servers import EFFECTS, PATH, PROCESS, Run
+from tests.sockets.stopped_servers import EFFECTS, PATH, PROCESS, READS, Run
 
 AT_ONCE = 3  # runs beside each other: more would measure the machine
 
@@ -28,3 +28,7 @@
     # Report dec766: the same where something on the way acknowledges bytes and passes nothing on.
     def test_no_state_is_held_for_a_send_that_is_taken_on_the_way(self):
         self.check(PATH)
+
+    # Report dec766, related: a read given up at a stopped prefill server ended there when it went on.
+    def test_no_state_is_held_that_a_stopped_prefill_server_leaves_when_it_goes_on(self):
+        self.check(READS)
