Releases owed to a silent server begin after those that any server may answer

It is asked 0.25 s after the read was given up, and all that is owed there is released then, as its reads may have ended meanwhile.

--- a/martenrouter/node/owed_releases.py
+++ b/martenrouter/node/owed_releases.py
@@ -1,8 +1,9 @@
 """Releases that are owed to one server itself: a read that it was given and has not answered may still end
 there, once the server goes on, long after the read was given up, and leave a state that nobody is told of.
 
-One call to release goes to the server and waits; its answer shows that the server goes on. If that took long,
-all that is owed there is released, and again while reads that it had begun may end.
+Once the calls that any server may answer have had their time, one call to release goes to the server and
+waits; its answer shows that the server goes on. All that is owed there is released then, and where the answer
+took long, again while reads that it had begun may end.
 """
 
 import gevent
@@ -10,9 +11,9 @@
 from martenrouter.edge import clock
 
 OWED_FOR = 15_000_000  # microseconds from the last read given up at a server for which it is asked
-ASKED_AGAIN_AFTER = 0.25  # seconds after a call that failed
+ASKED_AFTER = 0.25  # seconds from the first read given up, or from a call that failed
 HUNG_AFTER = 100_000  # microseconds without an answer after which reads may end late there
-RELEASED_AFTER = (0, 0.1, 0.2, 0.3)  # seconds between the rounds of releases once such a server has answered
+RELEASED_AGAIN_AFTER = (0.1, 0.2, 0.3)  # seconds between further rounds of releases at such a server
 MOST_OWED = 500  # requests at one server; the oldest are forgotten
 
 
@@ -42,24 +43,25 @@
 
     def _settle(self, server):
         """Until nothing is owed to the server, or it has not answered for long."""
-        owed, begun = self._owed[server], clock.now()
+        owed = self._owed[server]
         try:
             while owed and (left := self._until[server] - clock.now()) > 0:
+                gevent.sleep(ASKED_AFTER)
                 first = next((id for id in owed if not self._wanted(id)), None)
+                asked_at = clock.now()
                 if first is None or not self._ask(first, server, left / 1e6):
-                    gevent.sleep(ASKED_AGAIN_AFTER)
                     continue
                 ready = [id for id in owed if not self._wanted(id)]
-                if clock.now() - begun > HUNG_AFTER:
-                    self._release(server, ready)
+                was_hung = clock.now() - asked_at > HUNG_AFTER
+                self._release(server, ready, RELEASED_AGAIN_AFTER if was_hung else ())
                 for id in ready:
                     owed.pop(id, None)
         finally:
             del self._owed[server], self._until[server]
 
-    def _release(self, server, ids):
-        for pause in RELEASED_AFTER:
+    def _release(self, server, ids, again_after):
+        for pause in (0, *again_after):
             gevent.sleep(pause)
             for id in ids:
-                if not self._wanted(id) and self._ask(id, server, ASKED_AGAIN_AFTER):
+                if not self._wanted(id) and self._ask(id, server, ASKED_AFTER):
                     self._counters["releases_owed"] += 1
