--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -13,7 +13,6 @@
 from martenrouter.node.guard import Guard
 from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
-from martenrouter.policy.held_states import SERVER_ANSWERED
 
 # A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
 # this old is spoilt
@@ -30,7 +29,8 @@
     "not sent",
     "full",
 )  # any other end of a read may leave a state behind
-
+# endings of a decode attempt that only a server's process can cause: no other shows that it has the call
+SERVER_ANSWERED = ("done", "error", "full")
 
 # seconds from what leaves a state to the calls that let go of it, 300 ms being the limit. Where nobody knows
 # whether there is one, its like may be sent in the next round, and the first call waits for that
