--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 NODES = "10"
 KEPT = 701  # a seed whose plan has stops, reloads, clock steps and failing calls at once
 DRAINS = 1114  # node 5 is killed, told to stop during an outage of its agent, and held by turns; d1 drains
+HELD = 2006  # a stop with signals in series, pauses and links that are reset, of twelve nodes
 # mutation -> (a seed whose plan shows it, what the oracle says)
 CAUGHT = {
     "drops_answers": (700, "got no answer"),
@@ -44,6 +45,11 @@
         [(code, output)] = self.run_at_once([(DRAINS, ())])
         self.assertEqual(code, 0, output)
 
+    # Seen once, beside much else: a state that nothing took or released, by a machine that was late itself.
+    def test_a_seed_with_a_state_that_was_held_once_keeps_every_invariant(self):
+        [(code, output)] = self.run_at_once([(HELD, ("--nodes", "12"))])
+        self.assertEqual(code, 0, output)
+
     def test_mutations_are_caught(self):
         names = list(CAUGHT)
         for first in range(0, len(names), AT_ONCE):
