--- a/review/sites.py
+++ b/review/sites.py
@@ -111,3 +111,37 @@
         told.pop("fronts", 2),
         **{"token_aim": [70000.0, 80000.0], "second_copies": False, "attempts": 5, **told},
     )
+
+
+def ktm(**told):
+    """`ktm-scores`: replayable groups, no second copies, writers that read for themselves, a short grace."""
+    live = {
+        "name": "live-update",
+        "effect": "free",
+        "goal-time-us": 1_200_000,
+        "deadline-us": 5_000_000,
+        "importance": 1.0,
+        "late-worth": 0.2,
+        "stream": True,
+        "window-us": 5_000_000,
+        "group": "all",
+    }
+    summary = {**live, "name": "match-summary", "goal-time-us": 2_500_000, "deadline-us": 12_000_000}
+    return settings(
+        [live, {**summary, "importance": 2.0}],
+        ["prefill", "decode"],
+        ["read", "write"],
+        [225_000, 155_000],
+        500,
+        250,
+        told.pop("fronts", 2),
+        **{
+            "resume": True,
+            "writers_read": True,
+            "aim_per_1000": [40000.0, 120000.0],
+            "token_aim": [60000.0, 80000.0],
+            "second_copies": False,
+            "attempts": 5,
+            **told,
+        },
+    )
