A half-written send ends by its own clock, and holds no read state behind it

Cause: an attempt was known as unwritten or written (`Forward.written`). The bound on writing, 0.1 s, was looked at before each part that is written, and never while the server took nothing, so a send that stands still half-way was waited for until the policy's time-out or the deadline. The look for sends that do not arrive passed over an attempt whose last byte had not been written, so the policy was not told either.

Change: the write has a time-out of its own, and what is told of arrivals counts from the first byte: a send that is half written has not arrived. Its end is `unreachable`, as before at the next part: no server begins a request that it has not got whole.

Ruled out: a release that was decided and not answered (no state_released line before the cancel).

--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -26,9 +26,10 @@
 
 
 class Forward:
-    """`n`: its number within the req; `at`: when it was decided; `written`: when its bytes were; `began`:
-    when its first event came; `heard`: when whole events last did. All of the node's clock. `reads`: whether
-    it asks for a read, whatever the list says of its engine later."""
+    """`n`: its number within the req; `at`: when it was decided; `writing_since`: when its first byte was
+    written, `written`: when its last one was; `began`: when its first event came; `heard`: when whole events
+    last did. All of the node's clock. `reads`: whether it asks for a read, whatever the list says of its
+    engine later."""
 
     def __init__(self, req, n, engine, at, until, reads=False):
         self.req, self.n, self.engine, self.at, self.until, self.heard, self.reads = (
@@ -40,7 +41,8 @@
             at,
             reads,
         )
-        self.greenlet, self.began, self.ended, self.written, self.load = None, None, False, None, None
+        self.greenlet, self.began, self.ended, self.load = None, None, False, None
+        self.writing_since = self.written = None
         self.connection = None  # once there is one
         self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False  # part of an event or of a chunk has come
@@ -134,8 +136,22 @@
         return min(self.connect_within, max(left, CONNECTS_AT_LEAST) / 1e6)
 
     def _talk(self, f, connection, hear, patience):
+        self._write(f, connection)
+        f.idled = f.written - connection.given if connection.given else None
+        reader = messages.Answers()
+        try:
+            return self._listen(f, connection, reader, hear, patience)
+        finally:
+            reader.close()
+
+    def _write(self, f, connection):
+        """Raises Broke where the server has not got the whole request by the time up to which what it was
+        told of the deadline holds."""
         host = "%s:%d" % self.addresses.get(f.engine, ("gone", 0))
-        told_at = clock.now()
+        told_at = f.writing_since = clock.now()
+        slowly_taken = Broke(
+            "unreachable", "unwritten: slowly taken, and what was told of the deadline holds no more"
+        )
 
         def check():
             # between its parts others run: what held when the first went out may not any more, and none may
@@ -143,23 +159,17 @@
             if not connection.quiet():
                 raise Broke("unreachable", "unwritten: bytes came before it was whole")
             if clock.now() - told_at > TOLD_WITHIN:
-                raise Broke(
-                    "unreachable", "unwritten: slowly taken, and what was told of the deadline holds no more"
-                )
+                raise slowly_taken
             if f.ended or f.req.over is not None or f.req.conn.line.ended():
                 raise Broke("not sent", "unwritten: its request is over")
 
         try:
-            connection.sendall(answers.request(f.req.ask, host, f.until - told_at), check)
+            # `check` is not called while the server takes nothing: the time-out ends that wait
+            with gevent.Timeout(TOLD_WITHIN / 1e6, slowly_taken):
+                connection.sendall(answers.request(f.req.ask, host, f.until - told_at), check)
         except OSError as why:
             raise Broke("unreachable", "unwritten: %s" % why) from why
         f.written = clock.now()
-        f.idled = f.written - connection.given if connection.given else None
-        reader = messages.Answers()
-        try:
-            return self._listen(f, connection, reader, hear, patience)
-        finally:
-            reader.close()
 
     def _listen(self, f, connection, reader, hear, patience):
         head, body, events = None, [], None
--- a/martenrouter/node/held_states.py
+++ b/martenrouter/node/held_states.py
@@ -4,7 +4,7 @@
 """
 
 HELD_SLACK = 300_000  # microseconds that a state may be held beyond the settings' limit, on sockets
-ARRIVES_WITHIN = 40_000  # microseconds from the last byte's sending to its arrival; most need one round trip
+ARRIVES_WITHIN = 40_000  # microseconds from the first byte of a send to the arrival of its last
 
 
 class HeldStates:
@@ -81,13 +81,14 @@
 
     @staticmethod
     def _waits_for_arrival(attempt, now):
-        if attempt.written is None or attempt.began or attempt.reads or not attempt.req.reader:
+        """Also one that is half written: its server has not got it, whatever has been sent by now."""
+        if attempt.writing_since is None or attempt.began or attempt.reads or not attempt.req.reader:
             return False
-        return attempt.arrived is not True and now - attempt.written > ARRIVES_WITHIN
+        return attempt.arrived is not True and now - attempt.writing_since > ARRIVES_WITHIN
 
     def _look_at_arrival(self, attempt, desk):
         """Tells the policy whether a send behind a read state has arrived, each time that changes."""
-        arrived = not attempt.connection.unsent()
+        arrived = attempt.written is not None and not attempt.connection.unsent()
         if arrived is attempt.arrived:
             return
         request = attempt.req
