--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -26,7 +26,6 @@
 from martenrouter.edge.line import CALL_PAUSE
 from martenrouter.edge.send_buffer import SendBuffer
 from martenrouter.node.arrivals import Arrivals
-from martenrouter.policy.transfers import READ_PART, READ_PIECES
 from martenrouter.wire import http
 from martenrouter.wire.platform import asks, messages
 
@@ -143,12 +142,12 @@
     def _take(self, data):
         """Feeds `data`, which stands unread, to the parser up to the end of the request or of this turn's
         part, and consumes just that."""
-        taken = consumed = pieces = 0
-        part = min(len(data), READ_PART)
+        taken = consumed = 0
+        part, pieces = min(len(data), self.server.transfers.read_part), self.server.transfers.read_pieces
         try:
-            while taken < part and pieces < READ_PIECES and self.state in (State.READING, State.DISCARDING):
+            while taken < part and pieces and self.state in (State.READING, State.DISCARDING):
                 end = self.reader.piece_end(data, taken, part)
-                pieces += 1
+                pieces -= 1
                 events = self.reader.feed(data[taken:end])
                 taken = end
                 if events:
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -114,10 +114,13 @@
 
 
 class Door:
-    def __init__(self, listen, most, most_reqs, bytes_limit, groups, come_back, hands, counters, log):
+    def __init__(
+        self, listen, most, most_reqs, bytes_limit, groups, come_back, transfers, hands, counters, log
+    ):
         """`listen`: (host, port); `most`: connections that may be open; `most_reqs`: reqs; `bytes_limit`:
         bodies of all open and unfinished reqs together; `groups`: names of endpoint groups; `come_back`:
-        headers of what is turned away over a bound."""
+        headers of what is turned away over a bound; `transfers`: the policy's bounds on what is on its
+        way."""
         self.most_reqs, self.come_back = most_reqs, come_back
         self.bytes_limit = bytes_limit
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
@@ -125,7 +128,8 @@
         self.accept_logged = -ACCEPT_LOGGED_EACH  # when a failed accept was last logged
         self.empties = False  # whether some may still wait to be taken, of which none comes any more
         self.stopping = self.leaving = False  # not ready any more; connections end with their answers
-        self.turns, self.fair_share = LoopTurns(), FairShare()
+        self.transfers = transfers
+        self.turns, self.fair_share = LoopTurns(), FairShare(transfers.read_turn)
         self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed)
 
     def start(self):
--- a/martenrouter/node/fair_share.py
+++ b/martenrouter/node/fair_share.py
@@ -12,13 +12,15 @@
 from gevent.hub import Waiter
 
 from martenrouter.edge import clock
-from martenrouter.policy.transfers import READ_TURN
 
 NEXT_TURN = 1e-6  # seconds: a timer that is due looks for events and timers of others first
 
 
 class FairShare:
-    def __init__(self):
+    """`turn`: microseconds of one turn of the loop that are spent on clients' bytes."""
+
+    def __init__(self, turn):
+        self._turn = turn
         # who waits to begin a request, and who to go on with one; served in turn, so that neither a crowd of
         # new requests nor endless ones hold up the others
         self._begin, self._go_on = collections.deque(), collections.deque()
@@ -30,7 +32,7 @@
     def turn(self, begins):
         """What runs inside is part of a turn, for which the caller waits first; it must not wait itself.
         `begins`: whether a request begins with what is read."""
-        if self._spent >= READ_TURN or self._begin or self._go_on:
+        if self._spent >= self._turn or self._begin or self._go_on:
             self._wait(self._begin if begins else self._go_on)
         begun = clock.now()
         try:
@@ -48,7 +50,7 @@
     def _run_turn(self):
         """Called by the loop; those that are woken run until they wait for something."""
         self._spent = 0
-        while self._spent < READ_TURN and (waiter := self._pop()):
+        while self._spent < self._turn and (waiter := self._pop()):
             waiter.switch(None)
         if self._begin or self._go_on:
             self._next_turn.start(self._run_turn)
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -87,6 +87,7 @@
             int(settings.limits.memory_mb * BODIES),
             groups,
             [("retry-after", "%.3f" % (wait / 1e6))] if wait else [],
+            self.desk.front.transfers,
             self,
             self.counters,
             log,
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -4,7 +4,11 @@
 they are cut; the bounds here keep what they cost from whoever else is served.
 """
 
-READ_TURN = 5_000  # microseconds of one turn of the event loop that are spent on clients' bytes
-# of one connection in one turn: bytes of heads and chunks, and calls of the parser; a body of a told length
-# costs little
-READ_PART, READ_PIECES = 4 * 1024, 200
+
+class Transfers:
+    """Asked by the front node; without state of requests."""
+
+    read_turn = 5_000  # microseconds of one turn of the event loop that are spent on clients' bytes
+    # of one connection in one turn: bytes of heads and chunks, and calls of the parser; a body of a told
+    # length costs little
+    read_part, read_pieces = 4 * 1024, 200
