A list of the configuration is acted on only once the agent has been heard

Cause: the list of the configuration was taken as told, as any other: a message that may be old stood for one that had come. The node said that it was ready 0.2 s after it began, with its watch unanswered.

Change: policy/endpoint_list.py knows whether the list has been confirmed, by a line of the watch, an empty one too. After 30 s of silence the old list is used. Half a line of a list confirms nothing.

Ruled out: a watch that gives up too early (the agent answers what waits at the outage's end, within 1 ms).

--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -171,7 +171,7 @@
             self._make_room(now)
 
     def ready(self):
-        return self.begun and not self.stopping
+        return self.begun and not self.stopping and self.hands.ready()
 
     def _full(self):
         """Whether not even a newcomer can be answered: what is in the system's queue waits until one has
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -98,10 +98,11 @@
             self.listed,
             self.counters,
             log,
-            lambda: self.starts.heard(clock.now()),
+            self._heard_of_list,
         )
         self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
-        self.listed(known, "first")
+        self.listed(known, "configuration")
+        self.desk.front.endpoint_list.taken_from_configuration(clock.now())
 
     def _first_read(self):
         """As `_read`; the disk or the table of open files may fail for a moment, or the file may just be
@@ -156,6 +157,16 @@
             rows=[(row[3], row[0], row[6]) for row in rows] if scope == "changes" else len(rows),
         )
 
+    def _heard_of_list(self):
+        """A line of the watch came, perhaps an empty one: there is nothing newer than what was told."""
+        self.starts.heard(clock.now())
+        if not self.desk.front.endpoint_list.confirmed:
+            self.desk.post("list_current")
+
+    def ready(self):
+        """Whether clients may be sent here."""
+        return self.desk.front.endpoint_list.is_ready(clock.now())
+
     def _row(self, member, start, revision):
         phase, *rest = members.row(member, start)
         return self.drains.phase(member, phase, revision), *rest
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -13,6 +13,7 @@
 from statistics import median
 from zlib import crc32
 
+from martenrouter.policy.endpoint_list import EndpointList
 from martenrouter.policy.hashing import draw, point
 from martenrouter.policy.held_states import clock_after, is_unanswered
 from martenrouter.policy.lateness import Lateness
@@ -150,7 +151,7 @@
         self.servers = Servers(get("writers_read", False))
         self.place_on_ring = point(seed)  # where this process looks for decode servers: it meets them again
         self.releases, self.lateness, self.late = Releases(), Lateness(), 0
-        self.transfers = Transfers()
+        self.transfers, self.endpoint_list = Transfers(), EndpointList()
         self.departed = {}  # engines that left the list, until the last forward there has ended
         self.answered_lately = {}  # engines that answered, in the order of their last answers
         self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
@@ -181,6 +182,8 @@
             self.ask_wait = min(max(2 * self.ask_wait, 500_000), cap)  # back off: the service is crowded
             return
         self.ask_wait = 0
+        if scope != "configuration":
+            self.endpoint_list.confirm()
         roles = dict(zip(self.settings.get("kinds", ()), self.settings.get("role_by_kind", ())))
         memory = dict(zip(self.settings.get("kinds", ()), self.settings.get("memory_by_kind", ())))
         for phase, weight, zone, id, cell, kind, born in entries:
@@ -198,6 +201,10 @@
                 self.leaves(engine, True)
         self.forget_departed()
 
+    def list_current(self):
+        """Discovery has nothing newer than what was listed."""
+        self.endpoint_list.confirm()
+
     def engine(self, id):
         """What is known of the engine; nothing yet where it is new."""
         engine = self.engines.get(id)
@@ -598,7 +605,10 @@
         return good, strains
 
     def usable(self, reads, r):
-        """Of those, the engines that may get this req: allowed by rule 2, not pushed over while cold."""
+        """Of those, the engines that may get this req: allowed by rule 2, not pushed over while cold. None
+        while nobody knows which of them drain."""
+        if not self.endpoint_list.may_be_used(self.now):
+            return [], {}
         fresh = not r.effect and not r.out  # asked of every engine for every req that is held, in each round
         for candidates in self.candidates(reads, r):
             r.candidates = candidates
--- a/tests/sockets/node_process.py
+++ b/tests/sockets/node_process.py
@@ -44,8 +44,7 @@
     def pid(self):
         return self._popen.pid
 
-    def start(self):
-        """Until it is ready. Raises AssertionError when it isn't in time."""
+    def launch(self):
         with open(self._log_path, "ab") as log:
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", *self._arguments, "node", self.path],
@@ -54,6 +53,10 @@
                 stdout=log,
                 stderr=log,
             )
+
+    def start(self):
+        """Until it is ready. Raises AssertionError when it isn't in time."""
+        self.launch()
         until = clock.now() + READY_WITHIN * 1_000_000
         while not is_ready(("127.0.0.1", self.port)):
             if clock.now() > until:
--- /dev/null
+++ b/tests/sockets/test_silent_agent.py
@@ -0,0 +1,132 @@
+"""A process that starts while its agent is silent: its configuration's list may be old."""
+
+import tempfile
+import time
+import unittest
+
+import gevent
+
+from martenrouter.lab.processes import Ports
+from martenrouter.policy.endpoint_list import READY_WITHIN, TRUSTED_AFTER
+from tests.helpers import Rig as PolicyRig
+from tests.helpers import row
+from tests.sockets.node_process import NodeProcess
+from tests.sockets.node_rig import SETTINGS, Agent, Client, Engine, is_ready, request
+
+PORTS = Ports()
+READY_BY = 10  # seconds, by the page
+
+
+class Starts(unittest.TestCase):
+    def play(self, greeting, members):
+        """(node, agent, engines by id) of a node that starts with the list `members`, not waited for."""
+        agent = Agent()
+        agent.greeting = greeting
+        self.addCleanup(agent.server.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        node = NodeProcess(folder.name, PORTS.take(), SETTINGS, members, agent)
+        self.addCleanup(node.close)
+        return node, agent
+
+    def engines(self):
+        engines = [
+            Engine("r0", "prefill"),
+            Engine("r1", "prefill"),
+            Engine("w0", "decode"),
+            Engine("w1", "decode"),
+        ]
+        for engine in engines:
+            self.addCleanup(engine.server.stop)
+        return engines
+
+    # Review 4: it served at once by the list of its configuration, and sent to servers that drain.
+    def test_nothing_is_sent_by_an_old_list_before_the_agent_was_heard(self):
+        engines = self.engines()
+        node, agent = self.play(None, [engine.member() for engine in engines])
+        begun = time.monotonic()
+        node.launch()
+        while not self.listens(node):
+            gevent.sleep(0.02)
+        ready, answers, n = [], [], 0
+
+        def ask(n):
+            client = node.client()
+            try:
+                client.send(request("%016x" % n, x_timeout_ms="1500", x_route_key="k%d" % n))
+                answers.append(client.answer()[0])
+            finally:
+                client.close()
+
+        while time.monotonic() < begun + 3:
+            n += 1
+            gevent.spawn(ask, n)
+            ready.append(is_ready(("127.0.0.1", node.port)))
+            gevent.sleep(0.1)
+        self.assertEqual([engine.id for engine in engines if engine.calls], [])
+        self.assertNotIn(True, ready)
+        self.assertTrue(answers and set(answers) == {503}, answers)
+        agent.greeting = agent.line(2, [engines[0].member("leaving"), engines[2].member("leaving")])
+        while not is_ready(("127.0.0.1", node.port)):
+            self.assertLess(time.monotonic(), begun + READY_BY)
+            gevent.sleep(0.02)
+        served = [self.ask(node, "%016x" % (1000 + n)) for n in range(6)]
+        self.assertEqual(served, [200] * 6)
+        self.assertEqual([engine.id for engine in engines if engine.calls], ["r1", "w1"])
+
+    @staticmethod
+    def listens(node):
+        try:
+            Client(("127.0.0.1", node.port)).close()
+        except OSError:
+            return False
+        return True
+
+    @staticmethod
+    def ask(node, id):
+        client = node.client()
+        try:
+            return client.send(request(id, x_route_key=id)).answer()[0]
+        finally:
+            client.close()
+
+    # Review 4, related: half a list shows no more than silence does.
+    def test_half_a_list_is_none(self):
+        engines = self.engines()
+        members = [engine.member() for engine in engines]
+        node, agent = self.play(Agent.line(2, members, True)[:200], members)
+        begun = time.monotonic()
+        node.launch()
+        while time.monotonic() < begun + 2:
+            self.assertFalse(is_ready(("127.0.0.1", node.port)))
+            gevent.sleep(0.1)
+
+
+class Policy(unittest.TestCase):
+    ROWS = [row("r1", "rd"), row("w1", "wr")]
+
+    def rig(self):
+        rig = PolicyRig(rows=[])
+        rig.play(("listed", (1, "configuration", self.ROWS)))
+        rig.front.endpoint_list.taken_from_configuration(rig.now)
+        return rig
+
+    def test_a_heartbeat_confirms_the_list(self):
+        rig = self.rig()
+        self.assertEqual(rig.ask(1).all("forward"), [])
+        self.assertFalse(rig.front.endpoint_list.is_ready(rig.now))
+        self.assertEqual([sent[1] for sent in rig.play(("list_current", ())).all("forward")], ["r1"])
+        self.assertTrue(rig.front.endpoint_list.is_ready(rig.now))
+
+    def test_a_process_is_ready_in_its_time_and_answers_though_nobody_is_heard(self):
+        rig = self.rig()
+        rig.now += READY_WITHIN
+        self.assertTrue(rig.front.endpoint_list.is_ready(rig.now))
+        self.assertEqual(rig.ask(1).all("forward"), [])
+        told = rig.play(after=1_100_000)
+        self.assertEqual([kind for kind, *_ in told if kind in ("forward", "push_back")], ["push_back"])
+
+    def test_an_old_list_is_better_than_none_for_long(self):
+        rig = self.rig()
+        rig.now += TRUSTED_AFTER
+        self.assertEqual([sent[1] for sent in rig.ask(1).all("forward")], ["r1"])
