Nothing watches a closed connection, also while something waits to send on it

Cause: a buffer's sender waited on a watcher of its own. Stopping the buffer only asks for the sender's end, which comes with the loop's callbacks; the connection was closed at once. Past a thousand callbacks in a turn the loop looks for events before they have all run, and finds a watcher on a closed descriptor.

Change: both watchers belong to the line, whose close stops them before the descriptor goes.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -71,6 +71,15 @@
         gevent.sleep(CONNECT_PAUSE)
 
 
+def limit_buffers(sock, receive, send):
+    """Bounds what the system holds of a connection, in bytes; a system that can't keeps its own bounds."""
+    for option, size in ((socket.SO_RCVBUF, receive), (socket.SO_SNDBUF, send)):
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, option, size)
+        except OSError:
+            pass
+
+
 def _wait_for(sock, events):
     hub = gevent.get_hub()
     watcher = hub.loop.io(sock.fileno(), events)
@@ -94,6 +103,7 @@
             pass  # it serves without, if a little later
         self._hub = gevent.get_hub()
         self._came = self._hub.loop.io(self._sock.fileno(), READABLE)
+        self._has_room = None  # the watcher of the other direction, made when something first waits
         self._owed = 0  # bytes that were consumed and could not be read away yet
         self._pauses = False  # whether the last send failed for a moment
         self._unsure = False  # whether the last look did, so that it shows nothing
@@ -194,7 +204,9 @@
         """Until it is worth while to send again."""
         if self._pauses:
             gevent.sleep(CALL_PAUSE)
-        _wait_for(self._sock, WRITABLE)
+        if self._has_room is None:
+            self._has_room = self._hub.loop.io(self._sock.fileno(), WRITABLE)
+        self._hub.wait(self._has_room)
 
     def unsent(self):
         """Bytes that were given to the system and that the peer's machine has not taken yet; 0 where the
@@ -241,9 +253,12 @@
             return False
 
     def close(self):
-        """What the system still holds goes out all the same."""
-        self._came.stop()
-        self._came.close()
+        """What the system still holds goes out all the same. Who still waits is not woken."""
+        for watcher in (self._came, self._has_room):
+            # before the descriptor goes: libev ends the process over a closed one that it watches
+            if watcher is not None:
+                watcher.stop()
+                watcher.close()
         self._sock.close()
 
     def abort(self):
