Requests on their way and unread answers share one memory budget

Cause: a body counted once it came, its head never, an answer only alone (320 KB each, and what the system holds not at all); over the bound whoever came last was refused, however little it held.

Change: heads, bodies and what clients have not taken (the process's part and the system's) count against a fifth of the memory, by what they cost as held. Over it the policy names the unfinished request that holds most for longest (503), then the client that leaves most for longest (closed). Sockets of clients have buffers of 256 and 64 KB in place of the system's megabytes. A refused request's head is let go of at once. The sum is kept as it changes; it was added up over all connections for each piece of a body.

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -62,7 +62,9 @@
         self.arrivals = Arrivals()
         if line.unread():
             self.arrivals.seen(1, came)
-        self.reader, self.head, self.body, self.size = None, None, [], 0
+        self.reader, self.head, self.body = None, None, bytearray()
+        self.size = 0  # bytes that the request which is read or open holds, as they are held
+        self.unsent, self.unsent_since = 0, None  # bytes that wait for the client, and since when some do
         self.request, self.asked = None, 0  # the one that is served; how many have been whole
         self.since = accepted  # when it was accepted, or its last answer ended
         self.reading_since = None  # when the first bytes of the request that is being read were
@@ -158,6 +160,9 @@
                         self._on(*event)
         finally:
             self._consume(taken - consumed)
+        if self.state is State.READING:
+            self._hold(self._price())
+            self.server.keep_within_memory()
 
     def _consume(self, count):
         self.line.consume(count)
@@ -190,7 +195,7 @@
             self.refuse(400, "not HTTP/1.1: " + why)
 
     def _on_head(self, head):
-        self.head, self.body, self.size, self.keep = head, [], 0, head.keep
+        self.head, self.keep = head, head.keep
         if self._is_probe(head):
             return
         try:
@@ -205,18 +210,23 @@
         return head.method in ("GET", "HEAD") and head.path in PROBES
 
     def _on_body(self, data):
-        self.size += len(data)
-        if self.size > messages.BODY_LIMIT:
+        self.body += data
+        if len(self.body) > messages.BODY_LIMIT:
             self.refuse(413, "a body over %d bytes" % messages.BODY_LIMIT)
-        elif self.server.bytes_held() > self.server.bytes_limit:
-            # guards the machine's memory against many large bodies at once; each alone is within its limit
-            self.refuse(503, "too many bytes are on their way", self.server.come_back)
-        else:
-            self.body.append(data)
+
+    def _hold(self, size):
+        """So much is held for the request that is read or open."""
+        self.server.bytes_held += size - self.size
+        self.size = size
+
+    def _price(self):
+        """What the request that is being read holds."""
+        return self.reader.held + len(self.body)
 
     def _on_end(self):
-        head, body = self.head, b"".join(self.body)
-        self.head, self.body = None, []
+        self._hold(self._price())
+        head, body = self.head, bytes(self.body)
+        self.head, self.body = None, bytearray()
         self.asked += 1
         if self._is_probe(head):
             ready = self.server.ready() or head.path == "/health"
@@ -255,7 +265,9 @@
         self.server.counters["refused_%d" % status] += 1
         self.put(messages.plain(status, text, False, more))
         self.state, self.refused_since = State.DISCARDING, clock.now()
-        self.body, self.size = [], 0
+        self.reader.discard()
+        self.head, self.body = None, bytearray()
+        self._hold(0)
         if self.buffer.empty:
             self._drained()
 
@@ -291,7 +303,8 @@
     def _answered(self, keep):
         if self.state is State.CLOSED:
             return
-        self.request, self.streaming, self.size, self.since = None, False, 0, clock.now()
+        self.request, self.streaming, self.since = None, False, clock.now()
+        self._hold(0)
         if keep:
             self.state = State.IDLE
             self.changed.set()
@@ -300,6 +313,14 @@
 
     # ---- sending and closing ----
 
+    def look_at_unsent(self, now):
+        """Notes what this process and the system hold of answers that the client has not taken."""
+        self.unsent = len(self.buffer) + self.line.unsent()
+        if not self.unsent:
+            self.unsent_since = None
+        elif self.unsent_since is None:
+            self.unsent_since = now
+
     def put(self, data):
         if self.state is not State.CLOSED:
             self.buffer.put(data)
@@ -308,6 +329,7 @@
         """It is over: parts that hold each other let go, as the collector of cycles seldom looks."""
         self.state = State.CLOSED
         self.buffer.stop()
+        self._hold(0)
         if self.reader is not None:
             self.reader.close()
         self.line.close()
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -10,7 +10,7 @@
 from gevent.server import StreamServer
 
 from martenrouter.edge import clock
-from martenrouter.edge.line import Line
+from martenrouter.edge.line import Line, limit_buffers
 from martenrouter.node.arrivals import LoopTurns
 from martenrouter.node.client_connection import ClientConnection, ClientLeft, State
 from martenrouter.node.fair_share import FairShare
@@ -63,15 +63,21 @@
     """Takes connections one after the other, and says of each since when it can have waited at the latest.
 
     `full()`: whether no more can be held; they wait in the system until `resume` is called. `turns`:
-    arrivals.LoopTurns. `failed(OSError)` is told of each call that failed.
+    arrivals.LoopTurns. `failed(OSError)` is told of each call that failed. `buffers`: bytes that the system
+    may hold of what a connection receives, and sends.
     """
 
-    def __init__(self, listen, accepted, full, turns, failed):
+    def __init__(self, listen, accepted, full, turns, failed, buffers):
         super().__init__(listen, accepted, backlog=1024)
-        self.max_accept = AT_ONCE
+        self.max_accept, self._buffers = AT_ONCE, buffers
         self.full, self._turns, self._failed, self._waiting_since = full, turns, failed, None
         self.short = False  # whether some may wait that can't be taken just now
 
+    def init_socket(self):
+        super().init_socket()
+        # before connections come: theirs are as the listening socket's
+        limit_buffers(self.socket, *self._buffers)
+
     def do_read(self):
         """(socket, since when it can have waited), None where none can be taken now. Raises OSError where the
         listening socket itself has failed."""
@@ -122,7 +128,8 @@
         headers of what is turned away over a bound; `transfers`: the policy's bounds on what is on its
         way."""
         self.most_reqs, self.come_back = most_reqs, come_back
-        self.bytes_limit = bytes_limit
+        self.bytes_limit, self.bytes_held = bytes_limit, 0  # of requests that are read or open
+        self.bytes_unsent = 0  # of answers, as last looked at
         self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
         self.conns, self.begun, self.listens = {}, False, False
         self.accept_logged = -ACCEPT_LOGGED_EACH  # when a failed accept was last logged
@@ -130,7 +137,8 @@
         self.stopping = self.leaving = False  # not ready any more; connections end with their answers
         self.transfers = transfers
         self.turns, self.fair_share = LoopTurns(), FairShare(transfers.read_turn)
-        self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed)
+        buffers = transfers.receive_buffer, transfers.send_buffer
+        self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed, buffers)
 
     def start(self):
         """Raises OSError when the address can't be had."""
@@ -178,9 +186,27 @@
         been."""
         return len(self.conns) >= self.most + NEWCOMERS and not self._make_room(clock.now())
 
-    def bytes_held(self):
-        """Of bodies that are not whole yet or whose requests are open."""
-        return sum(conn.size for conn in self.conns.values())
+    def keep_within_memory(self):
+        """Refuses requests that are not whole while more is held than may be; each alone is within its
+        limit."""
+        while self.bytes_held > self.bytes_limit:
+            unfinished = (conn for conn in self.conns.values() if conn.state is State.READING)
+            conn = self.transfers.refused_first(unfinished, clock.now())
+            if conn is None:
+                return
+            self.counters["refused_for_memory"] += 1
+            conn.refuse(503, "too many bytes are on their way", self.come_back)
+
+    def close_unread_answers(self, now):
+        """Closes clients that leave their answers unread while these hold more memory than they may."""
+        waiting = [conn for conn in self.conns.values() if conn.unsent]
+        self.bytes_unsent = sum(conn.unsent for conn in waiting)
+        over = self.bytes_unsent + self.bytes_held - self.bytes_limit
+        while over > 0 and (conn := self.transfers.closed_first(waiting, now)):
+            waiting.remove(conn)
+            over -= conn.unsent
+            self.counters["connection_closed_for_memory"] += 1
+            conn.close("its answer is left unread, and memory is short")
 
     def _accepted(self, sock, came):
         now = clock.now()
@@ -280,8 +306,10 @@
                 self.counters["connection_failed"] += 1
                 self.log.error("connection_failed", error="%s: %s" % (type(why).__name__, why))
                 conn.close("a fault in looking at it")
+        self.close_unread_answers(now)
 
     def _look_at(self, conn, now):
+        conn.look_at_unsent(now)
         if conn.buffer.waits_since is not None and now - conn.buffer.waits_since > UNSENT_WITHIN:
             self.counters["connection_closed_unread"] += 1
             conn.close("its client takes nothing")
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -26,9 +26,9 @@
 from martenrouter.wire.platform import configuration as codec
 from martenrouter.wire.platform import members
 
-BODIES = (
-    1_000_000 // 4
-)  # bytes for each MB of memory: a quarter of it; 3 MB of the usual bodies are on their way at once
+# bytes for each MB of memory: a fifth of it for requests that are read or open and for answers that their
+# clients have not taken; 3 MB of usual ones are on their way at once
+ON_THEIR_WAY = 1_000_000 // 5
 # Shares of the descriptors. Clients: the usual ones' reqs hold a third at most, the rest is for bad ones. A
 # third for reqs, each of which has one forward out. Kept connections to all engines together. What is left,
 # an eighth, is the reserve of the list's watch, calls to let go, the door and files: nothing that clients do
@@ -84,7 +84,7 @@
             self.listen,
             int(sockets * CLIENTS),
             int(sockets * REQS),
-            int(settings.limits.memory_mb * BODIES),
+            int(settings.limits.memory_mb * ON_THEIR_WAY),
             groups,
             [("retry-after", "%.3f" % (wait / 1e6))] if wait else [],
             self.desk.front.transfers,
@@ -327,6 +327,8 @@
             "state_held_most": oldest,
             "open": len(self.reqs),
             "clients": len(self.door.conns),
+            "bytes_held": self.door.bytes_held,
+            "bytes_unsent": self.door.bytes_unsent,
             "servers": len(self.phases),
             "kept_connections": self.engines.kept.count,
             "attempts_out": len(self.engines.out),
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -12,3 +12,21 @@
     # of one connection in one turn: bytes of heads and chunks, and calls of the parser; a body of a told
     # length costs little
     read_part, read_pieces = 4 * 1024, 200
+
+    # microseconds: an answer that waits for its client this long waits for a slow one
+    slow_client = 500_000
+    # bytes that the system may hold of one connection to a client, in each direction
+    receive_buffer, send_buffer = 256 * 1024, 64 * 1024
+
+    @staticmethod
+    def refused_first(unfinished, now):
+        """Of requests that are not whole, each with `size` and `reading_since`, the one that holds most for
+        longest, as a usual one never does; None where there is none."""
+        return max(unfinished, key=lambda one: one.size * (now - one.reading_since + 1), default=None)
+
+    @staticmethod
+    def closed_first(waiting, now):
+        """Of clients whose answers wait for them, each with `unsent` and `unsent_since`, the one that leaves
+        most for longest; None where all have just begun to."""
+        slow = (one for one in waiting if now > one.unsent_since)
+        return max(slow, key=lambda one: one.unsent * (now - one.unsent_since), default=None)
--- a/martenrouter/wire/http.py
+++ b/martenrouter/wire/http.py
@@ -9,6 +9,9 @@
 HEAD_LIMIT = 64 * 1024  # bytes of head lines a peer may send: servers in the field allow 8 to 64 KiB
 FIELDS_LIMIT = 100  # of a head, and of a trailer: each costs its objects, however short it is
 
+FRAMING = ("content-length", "transfer-encoding", "connection")  # fields that tell where a message ends
+FIELD_COSTS = 250  # bytes that a field takes besides its own: two strings and an entry
+
 
 class BadBytes(Exception):
     """What came is not HTTP/1.1, or its head is over the limit."""
@@ -30,6 +33,7 @@
         self._events, self._headers, self._size, self._path = [], {}, 0, b""
         self._fields, self._head_is_whole = 0, False
         self._too_large = None  # what is, if anything
+        self._discards = False  # whether nothing but the message's end is asked for any more
         self._parser = self._new_parser()
 
     def feed(self, data):
@@ -45,6 +49,11 @@
         events, self._events = self._events, []
         return events
 
+    @property
+    def held(self):
+        """Bytes that what has come of the head takes."""
+        return self._size + FIELD_COSTS * len(self._headers)
+
     def on_message_begin(self):
         self._headers, self._size, self._path = {}, 0, b""
         self._fields, self._head_is_whole = 0, False
@@ -62,7 +71,14 @@
         if self._head_is_whole:
             return  # a field of the trailer, which says nothing of the request to who reads its head
         # blanks around a value are no part of it (RFC 9110, 5.5); the parser takes off those before it
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1").rstrip(" \t")
+        name = name.decode("latin-1").lower()
+        if not self._discards or name in FRAMING:
+            self._headers[name] = value.decode("latin-1").rstrip(" \t")
+
+    def discard(self):
+        """Nothing is asked for any more but where the message ends: what has come of it is let go of."""
+        self._discards = True
+        self._headers = {name: self._headers[name] for name in FRAMING if name in self._headers}
 
     def _refuse(self, what):
         self._too_large = what
--- a/tests/sockets/bad_clients.py
+++ b/tests/sockets/bad_clients.py
@@ -131,6 +131,7 @@
     def __init__(self, shape, port, count):
         self._shape, self._port = shape, port
         self._watch, self.turned_away = selectors.DefaultSelector(), 0
+        self._waiting = []  # clients that read nothing
         self._reads = selectors.EVENT_READ if shape not in READS_SLOWLY else 0
         for _ in range(count):
             self._begin()
@@ -158,7 +159,8 @@
             if self._reads:
                 self._watch.modify(client.sock, self._reads, client)
             else:
-                self._watch.unregister(client.sock)  # it reads nothing, and stays
+                self._watch.unregister(client.sock)
+                self._waiting.append(client)
 
     def _come_again(self, client):
         self.turned_away += 1
--- a/tests/sockets/test_bad_clients.py
+++ b/tests/sockets/test_bad_clients.py
@@ -32,3 +32,9 @@
     # Picture (a): heads of very many short fields cost their objects, many times their bytes.
     def test_heads_of_many_fields_cost_little_memory(self):
         self.check(many_fields=600)
+
+    # Picture (a): the same clients with half bodies and half heads of the largest size, or with long answers
+    # that they leave unread. Connections are what is short for the first two, and newcomers are refused.
+    def test_what_slow_clients_hold_is_bounded(self):
+        self.check(served=0, half_bodies=600, half_heads=600)
+        self.check(long_answers=600)
