Connections that wait to be accepted are dated by their place in the queue

Callers saw (found while trying picture b): 200 clients sent unsound heads and came again as soon as they were turned away; 56 of 75 usual requests were refused at once with `deadline_near`, two seconds before their time.

Cause: a connection counted as waiting since the system's queue had last been empty. While clients come faster than sixteen a turn it never is, and after two seconds every request seemed to be two seconds old.

Change: the queue is taken in its order, so a connection that is taken behind all that waited at a look has come since that look. How many wait the system tells for a listening socket (TCP_INFO); where it does not, the queue's length is taken. Taking connections is a module of its own now, node/listener.py.

Ruled out: the bound on connections (224 open of 409), the loop (late by 4 ms).

--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -7,13 +7,13 @@
 import errno
 
 import gevent
-from gevent.server import StreamServer
 
 from martenrouter.edge import clock
-from martenrouter.edge.line import Line, limit_buffers
+from martenrouter.edge.line import Line
 from martenrouter.node.arrivals import LoopTurns
 from martenrouter.node.client_connection import ClientConnection, ClientLeft, State
 from martenrouter.node.fair_share import FairShare
+from martenrouter.node.listener import SHORT_OF_RESOURCES, Listener
 
 # microseconds from a connection's start, or a request's first byte, to its last: 3 s are allowed
 WHOLE_WITHIN = 2_200_000
@@ -22,9 +22,6 @@
 LINGER = 600_000  # after the last answer: the client reads it before a close can reset it away
 # a client that takes nothing for so long reads nothing; a stream's end has to reach it in seconds
 UNSENT_WITHIN = 5_000_000
-AT_ONCE = (
-    16  # connections taken before others get their turn: those over the bound hold descriptors until then
-)
 NEWCOMERS = 16  # connections over the bound that are read and answered: a part of the reserve of descriptors
 NEWCOMER = (
     300_000  # a connection's first request is on its way for so long; older silent ones are closed first
@@ -36,89 +33,10 @@
 )
 
 
-# accept(2): errors of the connection that was to be taken, not of the listening socket: the next one is taken
-CONNECTION_FAILED = {
-    errno.ECONNABORTED,
-    errno.ECONNRESET,
-    errno.EHOSTDOWN,
-    errno.EHOSTUNREACH,
-    errno.EINTR,
-    errno.ENETDOWN,
-    errno.ENETUNREACH,
-    errno.ENONET,
-    errno.ENOPROTOOPT,
-    errno.EOPNOTSUPP,
-    errno.EPERM,
-    errno.EPROTO,
-    errno.ETIMEDOUT,
-}
-# nothing to hold a connection with just now: those that wait are taken when there is
-SHORT_OF_RESOURCES = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
-FAILED_AT_ONCE = 1024  # connections that fail in one turn, the length of the queue: others get theirs then
 ACCEPT_LOGGED_EACH = 1_000_000  # microseconds between log lines of failed accepts; all are counted
 SHORT_WAIT = 0.01  # seconds between tries to take what waits when no more will be taken later
 
 
-class Listener(StreamServer):
-    """Takes connections one after the other, and says of each since when it can have waited at the latest.
-
-    `full()`: whether no more can be held; they wait in the system until `resume` is called. `turns`:
-    arrivals.LoopTurns. `failed(OSError)` is told of each call that failed. `buffers`: bytes that the system
-    may hold of what a connection receives, and sends.
-    """
-
-    def __init__(self, listen, accepted, full, turns, failed, buffers):
-        super().__init__(listen, accepted, backlog=1024)
-        self.max_accept, self._buffers = AT_ONCE, buffers
-        self.full, self._turns, self._failed, self._waiting_since = full, turns, failed, None
-        self.short = False  # whether some may wait that can't be taken just now
-
-    def init_socket(self):
-        super().init_socket()
-        # before connections come: theirs are as the listening socket's
-        limit_buffers(self.socket, *self._buffers)
-
-    def do_read(self):
-        """(socket, since when it can have waited), None where none can be taken now. Raises OSError where the
-        listening socket itself has failed."""
-        self._someone_waits()
-        self.short = False
-        for _ in range(FAILED_AT_ONCE):
-            try:
-                taken = super().do_read()
-            except OSError as why:
-                self._failed(why)
-                if why.errno in CONNECTION_FAILED:
-                    continue
-                if why.errno not in SHORT_OF_RESOURCES:
-                    raise
-                self.short = True
-                self.stop_accepting()  # else the loop would come back at once; `resume` goes on
-                return None
-            if taken:
-                return taken[0], self._waiting_since
-            self._waiting_since = None  # none is left
-            return None
-        return None
-
-    def _do_read(self):
-        """Called by the loop when some wait, also where none can be held just now."""
-        self._someone_waits()
-        super()._do_read()
-
-    def _someone_waits(self):
-        if self._waiting_since is None:
-            self._waiting_since = self._turns.earliest()
-
-    def do_close(self, sock, *_):
-        sock.close()
-
-    def resume(self):
-        """Some were closed: takes connections again if it had stopped."""
-        if self.started and self._watcher is None and not self.full():
-            self.start_accepting()
-
-
 class Door:
     def __init__(
         self, listen, most, most_reqs, bytes_limit, groups, come_back, transfers, hands, counters, log
--- a/tests/sockets/test_bad_clients.py
+++ b/tests/sockets/test_bad_clients.py
@@ -29,6 +29,10 @@
     def test_endless_bytes_hold_up_nobody_else(self):
         self.check(short_lines=200, empty_lines=8, one_byte_chunks=8, zero_chunks=8, probes=8)
 
+    # Picture (b): small unsound requests at full speed, also under ever new names, and on new connections.
+    def test_unsound_requests_at_full_speed_hold_up_nobody_else(self):
+        self.check(unsound_bodies=8, unsound_heads=200)
+
     # Picture (a): heads of very many short fields cost their objects, many times their bytes.
     def test_heads_of_many_fields_cost_little_memory(self):
         self.check(many_fields=600)
