An id that may have run does not run again, whatever became of its first connection

Cause: a repeat of an id was known only while the first request was open. With its last outcome all that was known of its attempts went, and the id counted as new.

The same id gets 409 from then on, as it did while the first was open. What provably never ran, and replayable requests, may come again.

Open: the memory is the process's own; another node, or the next process, does not know of it.

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -241,9 +241,9 @@
             self.server.counters["refused_%d" % why.status] += 1
             return self.answer(why.status, str(why))
         proxy = self.server.hands
-        if ask.id in proxy.reqs:
+        if not proxy.may_take(ask.id):
             self.server.counters["refused_409"] += 1
-            return self.answer(409, "a request with this X-Request-ID is open")
+            return self.answer(409, "a request with this X-Request-ID is open, or may have run")
         if len(proxy.reqs) >= self.server.most_reqs:
             # guards the descriptors that the list's watch and calls to let go need: each open request may
             # hold one at a server
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -118,6 +118,11 @@
         )
         return r
 
+    def may_take(self, id):
+        """Whether a request of this id may be taken: none of that id is open, nor may one have had an effect
+        that must not be repeated."""
+        return id not in self.reqs and self.desk.front.repeated_ids.may_run(id)
+
     def answer_all_by(self, at):
         """Guards against a kill that comes before a deadline: reqs that are open and all that come later are
         to be answered by then. A stream that has begun has no deadline any more."""
@@ -410,6 +415,8 @@
         for r in leaving:
             if self.reqs.get(r.id) is r:
                 del self.reqs[r.id]
+            effect = self.desk.front.groups[r.ask.group].get("effect")
+            self.desk.front.repeated_ids.ended(r.id, effect, bool(r.may_have_run))
             # they hold each other, and the request's body: freed by count, as the collector seldom looks
             r.streams = None
             r.may_have_run.clear()
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -19,6 +19,7 @@
 from martenrouter.policy.lateness import Lateness
 from martenrouter.policy.reasons import GiveUp
 from martenrouter.policy.release import TRIES, Releases
+from martenrouter.policy.repeated_ids import RepeatedIds
 from martenrouter.policy.servers import CANDIDATES, Servers
 from martenrouter.policy.transfers import Transfers
 
@@ -151,7 +152,7 @@
         self.servers = Servers(get("writers_read", False))
         self.place_on_ring = point(seed)  # where this process looks for decode servers: it meets them again
         self.releases, self.lateness, self.late = Releases(), Lateness(), 0
-        self.transfers, self.endpoint_list = Transfers(), EndpointList()
+        self.transfers, self.endpoint_list, self.repeated_ids = Transfers(), EndpointList(), RepeatedIds()
         self.departed = {}  # engines that left the list, until the last forward there has ended
         self.answered_lately = {}  # engines that answered, in the order of their last answers
         self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
