No attempt begins for a client whose end could not be seen behind what stands unread

Cause: the look before each first byte asks the system whether the peer has closed. While the connection's receive buffer is full the end stands behind bytes at the client's machine, and the answer "no" says nothing.

A request that is whole then gets 503 with the connection's end, as does one behind which so much comes later (guard reason and policy event `client_may_have_left`); what was not read goes to another connection.

Five requests sent at once are served in their order. test_guard.py has the new reason; test_crossings.py compared an empty list with the body, now empty bytes.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -208,12 +208,19 @@
             self._has_room = self._hub.loop.io(self._sock.fileno(), WRITABLE)
         self._hub.wait(self._has_room)
 
+    def unread_bytes(self):
+        """How many have come that nobody has read; 0 where the system can't say."""
+        return self._queued(termios.FIONREAD)
+
     def unsent(self):
         """Bytes that were given to the system and that the peer's machine has not taken yet; 0 where the
         system can't say."""
+        return self._queued(termios.TIOCOUTQ)
+
+    def _queued(self, request):
         count = array.array("i", [0])
         try:
-            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, count)
+            fcntl.ioctl(self._sock.fileno(), request, count)
         except OSError:
             return 0
         return count[0]
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -249,9 +249,17 @@
             # hold one at a server
             self.server.counters["refused_over_bound"] += 1
             return self.answer(503, "too many requests are open", self.server.come_back)
+        if not self.sees_end():
+            self.keep = False
+            self.server.counters["refused_unseen"] += 1
+            return self.answer(503, "too much was sent ahead of the answer", self.server.come_back)
         self.state = State.SERVING
         self.request = proxy.arrived(self, ask, self.begun)
 
+    def sees_end(self):
+        """Whether it would be seen that the client has closed."""
+        return self.server.sees_end(self.line)
+
     # ---- answering ----
 
     def answer(self, status, text, more=(), with_body=True):
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -96,6 +96,10 @@
         if why.errno in SHORT_OF_RESOURCES:
             self._make_room(now)
 
+    def sees_end(self, line):
+        """Whether the end of a client's connection would be seen behind what stands unread on it."""
+        return self.transfers.sees_end(line.unread_bytes(), self.server.receive_buffer)
+
     def ready(self):
         return self.begun and not self.stopping and self.hands.ready()
 
--- a/martenrouter/node/guard.py
+++ b/martenrouter/node/guard.py
@@ -18,6 +18,7 @@
     DRAINING = "server_drains"
     LATE = "deadline_passed"
     CLIENT_LEFT = "client_left"
+    CLIENT_UNSEEN = "client_may_have_left"
     WINDOW_OVER = "repeat_window_over"
     SECOND_COPY = "second_copy"
     EFFECT_REPEATED = "effect_repeated"
@@ -63,6 +64,8 @@
             return Reason.LATE
         if request.conn.line.ended():
             return Reason.CLIENT_LEFT
+        if not request.conn.sees_end():
+            return Reason.CLIENT_UNSEEN
         return None if attempt.reads else self._why_no_repeat(attempt, now)
 
     def _why_no_repeat(self, attempt, now):
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -10,7 +10,7 @@
 from martenrouter.edge import clock
 from martenrouter.edge.lines import Broke, Stopped
 from martenrouter.node.engines import Forward
-from martenrouter.node.guard import Guard
+from martenrouter.node.guard import Guard, Reason
 from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
 
@@ -221,7 +221,10 @@
     def may_still_send(self, f):
         """The last look before the first byte. The loop may be behind with reading that the client has
         closed, and nothing may begin for it by then."""
-        if self.guard.refuses(f, clock.now()) is not None:
+        why = self.guard.refuses(f, clock.now())
+        if why is Reason.CLIENT_UNSEEN:
+            self.desk.post("unseen", f.req.id)
+        if why is not None:
             return False
         self.guard.begins(f)
         return True
--- a/martenrouter/node/listener.py
+++ b/martenrouter/node/listener.py
@@ -93,6 +93,7 @@
         super().init_socket()
         # before connections come: theirs are as the listening socket's
         limit_buffers(self.socket, *self._buffers)
+        self.receive_buffer = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
 
     def do_read(self):
         """(socket, since when it can have waited), None where none can be taken now. Raises OSError where the
--- a/martenrouter/policy/reasons.py
+++ b/martenrouter/policy/reasons.py
@@ -14,4 +14,5 @@
     ATTEMPTS = "attempts_used_up"
     PROCESS_LATE = "this_process_is_late"
     STATE_LIMIT = "state_held_to_its_limit"
+    CLIENT_UNSEEN = "client_may_have_left"
     OTHER = "decided_elsewhere"
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -18,6 +18,13 @@
     # bytes that the system may hold of one connection to a client, in each direction
     receive_buffer, send_buffer = 256 * 1024, 64 * 1024
 
+    @staticmethod
+    def sees_end(unread, buffer):
+        """Whether the end of a connection on which so many bytes stand unread would be seen. With more, its
+        peer may have closed long ago behind bytes for which there is no room: the system takes a third of
+        `buffer`, its bound, and more."""
+        return unread < buffer // 4
+
     @staticmethod
     def refused_first(unfinished, now):
         """Of requests that are not whole, each with `size` and `reading_since`, the one that holds most for
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -409,6 +409,11 @@
         if id in self.reqs:
             self.finish(self.reqs[id])
 
+    def unseen(self, id):
+        """So much stands unread on its client's connection that the client may have left unseen."""
+        if id in self.live:
+            self.give_up(self.live[id], GiveUp.CLIENT_UNSEEN)
+
     def probed(self, ending, elapsed, engine_id, load):
         engine = self.engines.get(engine_id)
         if engine and load:
--- a/tests/sockets/test_crossings.py
+++ b/tests/sockets/test_crossings.py
@@ -86,7 +86,9 @@
         )
         gevent.sleep(0.2)
         (conn,) = rig.node.door.conns.values()
-        self.assertEqual((conn.asked, conn.body, conn.line.unread()), (1, [], True))  # nothing is read ahead
+        self.assertEqual(
+            (conn.asked, bytes(conn.body), conn.line.unread()), (1, b"", True)
+        )  # nothing is read ahead
         go.set()
         self.assertEqual(self.statuses(client, 21), {b"200": 21})
         sender.join()
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -39,10 +39,14 @@
             "held_since": None,
             "reader": "p",
             "ask": types.SimpleNamespace(group="chat"),
-            "conn": types.SimpleNamespace(line=Line()),
+            "conn": self.connection(),
         }
         return types.SimpleNamespace(**{**told, **more})
 
+    @staticmethod
+    def connection(ended=False, sees_end=True):
+        return types.SimpleNamespace(line=Line(ended=ended), sees_end=lambda: sees_end)
+
     def attempt(self, request, n=0, engine="a", **more):
         told = {"reads": False, "ended": False, "until": NOW + 1000, "place": None, "written": None}
         return types.SimpleNamespace(req=request, n=n, engine=engine, **{**told, "arrived": None, **more})
@@ -50,7 +54,7 @@
 
 class Sending(Case):
     def test_crossings_are_refused_and_counted_but_are_no_violations(self):
-        left = types.SimpleNamespace(line=Line(ended=True))
+        left, unseen = self.connection(ended=True), self.connection(sees_end=False)
         for why, request, attempt in (
             (Reason.OVER, {"over": "done"}, {}),
             (Reason.OVER, {}, {"ended": True}),
@@ -58,6 +62,8 @@
             (Reason.DRAINING, {}, {"engine": "gone"}),
             (Reason.LATE, {}, {"until": NOW}),
             (Reason.CLIENT_LEFT, {"conn": left}, {}),
+            (Reason.CLIENT_UNSEEN, {"conn": unseen}, {}),
+            (Reason.CLIENT_UNSEEN, {"conn": unseen}, {"reads": True}),
             (Reason.WINDOW_OVER, {"repeat_by": NOW}, {}),
             (None, {"repeat_by": NOW}, {"reads": True}),
             (None, {}, {}),
