An answer whose bytes still come is neither silent nor spoilt

Cause: a stream's clock knew whole events alone (`Forward.heard`). Half an event that was 3 s old was ended as spoilt, whether it stood still or not.

Change: a stream is ended where bytes stand still for 3 s behind half an event, where it is silent for 4.5 s between events, or after 60 s for one event (policy/transfers.py; these figures but the last were in node/hands.py). So that the client of a spoilt one is still let off within 5 s, what moves is looked at: a chunk said to be larger than a body may be ends the stream at once, and so does a line in half a chunk that is of no event, as a size that is too large swallows the chunks behind it. What came of a chunk is one buffer, no list of pieces.

--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -28,19 +28,12 @@
 class Forward:
     """`n`: its number within the req; `at`: when it was decided; `writing_since`: when its first byte was
     written, `written`: when its last one was; `began`: when its first event came; `heard`: when whole events
-    last did. All of the node's clock. `reads`: whether it asks for a read, whatever the list says of its
-    engine later."""
+    last did; `moved`: when any bytes of its answer last did. All of the node's clock. `reads`: whether it
+    asks for a read, whatever the list says of its engine later."""
 
     def __init__(self, req, n, engine, at, until, reads=False):
-        self.req, self.n, self.engine, self.at, self.until, self.heard, self.reads = (
-            req,
-            n,
-            engine,
-            at,
-            until,
-            at,
-            reads,
-        )
+        self.req, self.n, self.engine, self.reads = req, n, engine, reads
+        self.at, self.until, self.heard, self.moved = at, until, at, at
         self.greenlet, self.began, self.ended, self.load = None, None, False, None
         self.writing_since = self.written = None
         self.connection = None  # once there is one
@@ -172,7 +165,7 @@
         f.written = clock.now()
 
     def _listen(self, f, connection, reader, hear, patience):
-        head, body, events = None, [], None
+        head, body, events = None, bytearray(), None
         while True:
             try:
                 data = connection.recv(CHUNK)
@@ -186,6 +179,7 @@
                 raise Broke(
                     "unreachable", "unwritten: bytes came before it was whole"
                 )  # it closes, and so never becomes whole
+            f.moved = clock.now()
             whole, came = [], reader.feed(data)
             for at, event in enumerate(came, 1):
                 if event[0] == "head":
@@ -194,32 +188,42 @@
                     f.load = answers.load(head.headers.get(answers.LOAD))
                     events = Events() if head.status == 200 else None
                 elif event[0] == "body":
-                    body.append(event[1])
+                    body += event[1]
                 elif event[0] == "bad":
                     self._pass_on(f, whole, hear, patience)
                     raise Broke("reset", "unreadable: %s" % event[1])
                 elif events is not None and body:
                     try:
-                        whole.append(events.feed(b"".join(body)))
+                        whole.append(events.feed(bytes(body)))
                     except BadEvents as why:
                         self._pass_on(f, whole, hear, patience)
                         raise Broke("reset", "spoilt: %s" % why) from why
-                    body = []
+                    body.clear()
                 if event[0] == "end":
                     self._pass_on(f, whole, hear, patience)
                     # what follows an answer was not asked for: the answer stands, the connection is done with
                     clean = head.keep and at == len(came) and not reader.inside and connection.quiet()
                     if events is None:
-                        return (*answers.ending(head, b"".join(body)), clean)
+                        return (*answers.ending(head, bytes(body)), clean)
                     if not events.done:
                         raise Broke("reset", "ended without its last event")
                     f.load = events.load or f.load
                     return "done", events.found, clean
             self._pass_on(f, whole, hear, patience)
-            if sum(map(len, body)) > messages.BODY_LIMIT:
+            if len(body) > messages.BODY_LIMIT:
                 raise Broke("reset", "spoilt: more than %d bytes in one piece" % messages.BODY_LIMIT)
             if events is not None:
                 f.half = reader.half or events.inside
+                self._check_half(events, body)
+
+    @staticmethod
+    def _check_half(events, part):
+        """`part`: what came of a chunk that is not whole. Raises Broke where no chunk of events begins so:
+        a chunk whose size is too large swallows those behind it."""
+        try:
+            events.check(part)
+        except BadEvents as why:
+            raise Broke("reset", "spoilt: %s" % why) from why
 
     def _kept_one(self, f, broke):
         """Tells what became of a connection that had been kept. One that breaks long after the bytes went out
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -14,13 +14,6 @@
 from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
 
-# A spoilt stream's client must be let off within 5 s by the platform's page; half an event or chunk that is
-# this old is spoilt
-HALF_WITHIN = 3_000_000
-# The same 5 s for a stream that is silent between events: a client that an engine leaves waiting for longer
-# is lost, whether or not it asks for the rest elsewhere. On 15 brink days of a site without such clients no
-# stream that had been silent for 2 s went on
-SILENT_WITHIN = 4_500_000
 LOOKS = 50_000  # microseconds between looks at what no event tells (node/life.py)
 LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
 LEAVES_NOTHING = (
@@ -431,7 +424,7 @@
         self.states.look_for_overdue(self.reqs.values(), now)
         self.guard.look(self.reqs.values(), now)
         for f in list(self.engines.out.values()):
-            if f.began and now - f.heard > (HALF_WITHIN if f.half else SILENT_WITHIN):
+            if f.began and self.desk.front.transfers.is_stalled(f, now):
                 self.counters["streams_silent"] += 1
                 self.engines.stop(f)
                 self._end(f, "reset", 0)
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -18,6 +18,18 @@
     # bytes that the system may hold of one connection to a client, in each direction
     receive_buffer, send_buffer = 256 * 1024, 64 * 1024
 
+    # microseconds of a stream that has begun. The platform wants the client of a spoilt one let off within
+    # 5 s, and that of one whose server is silent: half an event that stands still for so long is spoilt
+    half_stands_still, silent_between_events = 3_000_000, 4_500_000
+    event_within = 60_000_000  # microseconds for one event that moves
+
+    def is_stalled(self, stream, now):
+        """Whether nothing more is to be expected of the stream: `heard` tells when its last whole event came,
+        `moved` when its last bytes did, `half` whether some came that are no whole event yet."""
+        if stream.half or stream.moved > stream.heard:
+            return now - stream.moved > self.half_stands_still or now - stream.heard > self.event_within
+        return now - stream.heard > self.silent_between_events
+
     @staticmethod
     def sees_end(unread, buffer):
         """Whether the end of a connection on which so many bytes stand unread would be seen. With more, its
--- a/martenrouter/wire/platform/events.py
+++ b/martenrouter/wire/platform/events.py
@@ -29,6 +29,8 @@
 
 _event = msgspec.json.Decoder(_Event)
 DONE = b"[DONE]"
+PASSED_OVER = b"event:", b"id:", b"retry:"  # fields of an event that are passed on unread
+LINE_STARTS = b"data:", b":", *PASSED_OVER
 
 
 class Events:
@@ -37,6 +39,7 @@
 
     def __init__(self):
         self._part, self._size = b"", 0
+        self._checked = 0  # bytes of a chunk that is not whole whose lines have been looked at
         self.done, self.found, self.load = False, 0, None
 
     @property
@@ -46,6 +49,7 @@
 
     def feed(self, data):
         """`data`: whole chunks of the body. Returns whole events as one piece of bytes; raises BadEvents."""
+        self._checked = 0
         self._size += len(data)
         if self._size > BODY_LIMIT:
             raise BadEvents("an answer over %d bytes" % BODY_LIMIT)
@@ -59,6 +63,19 @@
             self._line(line.rstrip(b"\r"))
         return whole
 
+    def check(self, chunk):
+        """`chunk`: what came of one that is not whole. Raises BadEvents where a whole line in it is of no
+        event."""
+        end = chunk.rfind(b"\n", self._checked) + 1
+        if not end:
+            return
+        begins = b"" if self._checked else self._part  # its first line may have begun in the chunk before
+        for line in (begins + chunk[self._checked : end - 1]).split(b"\n"):
+            line = line.rstrip(b"\r")
+            if line and not line.startswith(LINE_STARTS):
+                raise BadEvents("a line that is of no event")
+        self._checked = end
+
     def _line(self, line):
         if line.startswith(b"data:"):
             told = line[5:].strip()
@@ -77,5 +94,5 @@
             name, _, value = line[1:].decode("latin-1").strip().partition(":")
             if name.lower() == answers.LOAD:
                 self.load = answers.load(value)
-        elif line and not line.startswith((b"event:", b"id:", b"retry:")):
+        elif line and not line.startswith(PASSED_OVER):
             raise BadEvents("a line that is of no event")
--- a/martenrouter/wire/platform/messages.py
+++ b/martenrouter/wire/platform/messages.py
@@ -11,6 +11,7 @@
 
 BODY_LIMIT = 256 * 1024  # bytes: no body of this protocol holds more
 RAW_LIMIT = 4 * BODY_LIMIT  # bytes of a whole message with its head and the chunks' sizes
+CHUNK_HEAD = 64  # bytes that hold a chunk's size and the line's end before it
 EMPTY_LIMIT = 1024  # bytes of empty lines before a request
 HEAD_END, UPGRADE = b"\r\n\r\n", b"upgrade:"
 BLANK_LINES = b"\n\r\n", b"\n\n"  # each ends a head, with the end of the line before
@@ -203,6 +204,40 @@
 class Answers(_Bounded, http.ResponseReader):
     """What an engine or the list's agent answers; 1xx answers ahead of it are passed over."""
 
+    chunk_limit = BODY_LIMIT  # bytes
+
+    def __init__(self):
+        super().__init__()
+        self._before = b""  # the end of what was fed before
+        self._chunk_came, self._size_known = 0, True  # bytes of the chunk that has begun; of its size
+
+    def feed(self, data):
+        events = super().feed(data)
+        if self.half and not self._size_known and not self.bad:
+            self._size_known = True
+            size = self._size_told(self._before + data)
+            if size > self.chunk_limit:
+                self.bad = True
+                events.append(("bad", "a chunk of %d bytes" % size))
+        self._before = (self._before + data)[-CHUNK_HEAD:]
+        return events
+
+    def _size_told(self, data):
+        """Of the chunk that has begun; the parser knows it and does not tell. 0 where it can't be found."""
+        line = data[: len(data) - self._chunk_came].rstrip(b"\r\n").rpartition(b"\n")[2]
+        try:
+            return int(line.partition(b";")[0], 16)
+        except ValueError:
+            return 0
+
+    def on_chunk_header(self):
+        self._chunk_came, self._size_known = 0, False
+        super().on_chunk_header()
+
+    def on_body(self, data):
+        self._chunk_came += len(data)
+        super().on_body(data)
+
     def on_headers_complete(self):
         if self._parser.get_status_code() >= 200:
             super().on_headers_complete()
@@ -215,7 +250,7 @@
 class Lasting(Answers):
     """An answer that stays open for as long as the process: its lines are bounded, not its length."""
 
-    raw_limit = float("inf")
+    raw_limit = chunk_limit = float("inf")
 
 
 def plain(status, text, keep, more=(), with_body=True):
