--- a/tests/sockets/test_bad_clients.py
+++ b/tests/sockets/test_bad_clients.py
@@ -29,7 +29,7 @@
     def test_endless_bytes_hold_up_nobody_else(self):
         self.check(short_lines=200, empty_lines=8, one_byte_chunks=8, zero_chunks=8, probes=8)
 
-    # Picture (b): small sound and unsound requests at full speed, under ever new names and on new connections.
+    # Picture (b): small requests at full speed, sound and unsound, under ever new names.
     def test_small_requests_at_full_speed_hold_up_nobody_else(self):
         self.check(sound_requests=8, unsound_bodies=8, unsound_heads=200)
 
