Fair turns, bounded writes and looks at half chunks cost little where nothing waits

Turns of the loop are told apart by their number in place of a timer for each read; the time-out of a write stands only while there is no room; a chunk's size is looked for only in what ends in half a chunk, and what stands unread only where something does.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -175,9 +175,10 @@
 
     # ---- sending ----
 
-    def sendall(self, data, check=None):
-        """Sends all of `data`. `check()`, if given, is called right before each part that goes out and may
-        raise. Raises OSError."""
+    def sendall(self, data, check=None, check_within=None):
+        """Sends all of `data`. `check()`, if given, is called right before each part that goes out, and
+        `check_within` seconds after the last one where there is no room for so long; it may raise. Raises
+        OSError."""
         rest = memoryview(data)
         while rest:
             if check is not None:
@@ -185,7 +186,8 @@
             sent = self.send_some(rest)
             rest = rest[sent:]
             if not sent:
-                self.wait_writable()
+                with gevent.Timeout(check_within, False):
+                    self.wait_writable()
 
     def send_some(self, data):
         """How many bytes went out without waiting. Raises OSError."""
--- a/martenrouter/node/arrivals.py
+++ b/martenrouter/node/arrivals.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self._previous = self._latest = clock.now()
+        self.number = 0  # how many turns there have been
         self._check = gevent.get_hub().loop.check()
 
     def start(self):
@@ -31,6 +32,7 @@
 
     def _looked(self):
         self._previous, self._latest = self._latest, clock.now()
+        self.number += 1
 
     def earliest(self):
         """What the loop reports in this turn came no earlier: now, or when it looked before if it was held
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -124,18 +124,19 @@
     def _read(self):
         self.line.wait_readable()
         came = self.server.turns.earliest()
-        with self.server.fair_share.turn(self.state is State.IDLE):
-            if self.state in (State.CLOSING, State.CLOSED):
-                return  # closed meanwhile: what came stays unread
-            data = self.line.peek(CHUNK)
-            if data == b"":
-                raise ClientLeft
-            if data is not None:
-                self.arrivals.seen(len(data), came)
-                if self.state is State.IDLE:
-                    self._begin_reading()
-                return self._take(data)
-        gevent.sleep(CALL_PAUSE)  # there is something, and it can't be had just now
+        begun = self.server.fair_share.wait_for_turn(begins=self.state is State.IDLE)
+        if self.state in (State.CLOSING, State.CLOSED):
+            return  # closed meanwhile: what came stays unread
+        data = self.line.peek(CHUNK)
+        if data == b"":
+            raise ClientLeft
+        if data is None:
+            return gevent.sleep(CALL_PAUSE)  # there is something, and it can't be had just now
+        self.arrivals.seen(len(data), came)
+        if self.state is State.IDLE:
+            self._begin_reading()
+        self._take(data)
+        self.server.fair_share.took(begun)
 
     def _begin_reading(self):
         self.state, self.reader = State.READING, messages.Requests()
@@ -249,7 +250,7 @@
             # hold one at a server
             self.server.counters["refused_over_bound"] += 1
             return self.answer(503, "too many requests are open", self.server.come_back)
-        if not self.sees_end():
+        if self.arrivals.pending and not self.sees_end():
             self.keep = False
             self.server.counters["refused_unseen"] += 1
             return self.answer(503, "too much was sent ahead of the answer", self.server.come_back)
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -54,7 +54,8 @@
         self.empties = False  # whether some may still wait to be taken, of which none comes any more
         self.stopping = self.leaving = False  # not ready any more; connections end with their answers
         self.transfers = transfers
-        self.turns, self.fair_share = LoopTurns(), FairShare(transfers.read_turn)
+        self.turns = LoopTurns()
+        self.fair_share = FairShare(self.turns, transfers.read_turn)
         buffers = transfers.receive_buffer, transfers.send_buffer
         self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed, buffers)
 
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -142,9 +142,6 @@
         told of the deadline holds."""
         host = "%s:%d" % self.addresses.get(f.engine, ("gone", 0))
         told_at = f.writing_since = clock.now()
-        slowly_taken = Broke(
-            "unreachable", "unwritten: slowly taken, and what was told of the deadline holds no more"
-        )
 
         def check():
             # between its parts others run: what held when the first went out may not any more, and none may
@@ -152,14 +149,15 @@
             if not connection.quiet():
                 raise Broke("unreachable", "unwritten: bytes came before it was whole")
             if clock.now() - told_at > TOLD_WITHIN:
-                raise slowly_taken
+                raise Broke(
+                    "unreachable", "unwritten: slowly taken, and what was told of the deadline holds no more"
+                )
             if f.ended or f.req.over is not None or f.req.conn.line.ended():
                 raise Broke("not sent", "unwritten: its request is over")
 
         try:
-            # `check` is not called while the server takes nothing: the time-out ends that wait
-            with gevent.Timeout(TOLD_WITHIN / 1e6, slowly_taken):
-                connection.sendall(answers.request(f.req.ask, host, f.until - told_at), check)
+            data = answers.request(f.req.ask, host, f.until - told_at)
+            connection.sendall(data, check, check_within=TOLD_WITHIN / 1e6)
         except OSError as why:
             raise Broke("unreachable", "unwritten: %s" % why) from why
         f.written = clock.now()
@@ -214,7 +212,8 @@
                 raise Broke("reset", "spoilt: more than %d bytes in one piece" % messages.BODY_LIMIT)
             if events is not None:
                 f.half = reader.half or events.inside
-                self._check_half(events, body)
+                if body:
+                    self._check_half(events, body)
 
     @staticmethod
     def _check_half(events, part):
--- a/martenrouter/node/fair_share.py
+++ b/martenrouter/node/fair_share.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import contextlib
 
 import gevent
 from gevent.hub import Waiter
@@ -17,40 +16,40 @@
 
 
 class FairShare:
-    """`turn`: microseconds of one turn of the loop that are spent on clients' bytes."""
+    """`turns`: arrivals.LoopTurns; `most`: microseconds of one turn that are spent on clients' bytes."""
 
-    def __init__(self, turn):
-        self._turn = turn
+    def __init__(self, turns, most):
+        self._turns, self._most = turns, most
         # who waits to begin a request, and who to go on with one; served in turn, so that neither a crowd of
         # new requests nor endless ones hold up the others
         self._begin, self._go_on = collections.deque(), collections.deque()
         self._beginners_next = True
-        self._spent = 0  # microseconds of this turn
+        self._turn, self._spent = 0, 0  # the turn's number, and microseconds spent in it
         self._next_turn = gevent.get_hub().loop.timer(NEXT_TURN)
 
-    @contextlib.contextmanager
-    def turn(self, begins):
-        """What runs inside is part of a turn, for which the caller waits first; it must not wait itself.
-        `begins`: whether a request begins with what is read."""
-        if self._spent >= self._turn or self._begin or self._go_on:
+    def wait_for_turn(self, begins):
+        """`begins`: whether a request begins with what is to be read. Returns what `took` is to be told."""
+        if self._turn != self._turns.number:
+            self._turn, self._spent = self._turns.number, 0
+        if self._begin or self._go_on or self._spent >= self._most:
             self._wait(self._begin if begins else self._go_on)
-        begun = clock.now()
-        try:
-            yield
-        finally:
-            self._spent += clock.now() - begun
-            if not self._next_turn.active:
-                self._next_turn.start(self._run_turn)
+        return clock.now()
+
+    def took(self, begun):
+        """What was read in the turn that began then has been taken in."""
+        self._spent += clock.now() - begun
 
     def _wait(self, queue):
         waiter = Waiter()
         queue.append(waiter)
+        if not self._next_turn.active:
+            self._next_turn.start(self._run_turn)
         waiter.get()
 
     def _run_turn(self):
         """Called by the loop; those that are woken run until they wait for something."""
-        self._spent = 0
-        while self._spent < self._turn and (waiter := self._pop()):
+        self._turn, self._spent = self._turns.number, 0
+        while self._spent < self._most and (waiter := self._pop()):
             waiter.switch(None)
         if self._begin or self._go_on:
             self._next_turn.start(self._run_turn)
--- a/martenrouter/wire/platform/messages.py
+++ b/martenrouter/wire/platform/messages.py
@@ -5,6 +5,7 @@
 ("bad", why) where bytes can't be read; nothing after that is looked at.
 """
 
+import itertools
 import re
 
 from martenrouter.wire import http
@@ -70,14 +71,15 @@
         )  # what came before it on the connection is not its
 
     raw_limit = RAW_LIMIT
-    in_head = half = False  # half: a chunk has begun and not ended
+    # half: a chunk has begun and not ended; size_looked_at: whether the size that it was told to have was
+    in_head = half = size_looked_at = False
 
     def on_headers_complete(self):
         self.in_head = False
         super().on_headers_complete()
 
     def on_chunk_header(self):
-        self.half = True
+        self.half, self.size_looked_at = True, False
 
     def on_chunk_complete(self):
         self.half = False
@@ -209,35 +211,30 @@
     def __init__(self):
         super().__init__()
         self._before = b""  # the end of what was fed before
-        self._chunk_came, self._size_known = 0, True  # bytes of the chunk that has begun; of its size
 
     def feed(self, data):
         events = super().feed(data)
-        if self.half and not self._size_known and not self.bad:
-            self._size_known = True
-            size = self._size_told(self._before + data)
+        if self.half and not self.size_looked_at and not self.bad:
+            self.size_looked_at = True
+            size = self._size_told(self._before + data, events)
             if size > self.chunk_limit:
                 self.bad = True
                 events.append(("bad", "a chunk of %d bytes" % size))
-        self._before = (self._before + data)[-CHUNK_HEAD:]
+        self._before = data[-CHUNK_HEAD:] if len(data) >= CHUNK_HEAD else (self._before + data)[-CHUNK_HEAD:]
         return events
 
-    def _size_told(self, data):
-        """Of the chunk that has begun; the parser knows it and does not tell. 0 where it can't be found."""
-        line = data[: len(data) - self._chunk_came].rstrip(b"\r\n").rpartition(b"\n")[2]
+    @staticmethod
+    def _size_told(data, events):
+        """Of the chunk that has begun in `data`; the parser knows it and does not tell. 0 where it can't be
+        found."""
+        of_chunk = itertools.takewhile(lambda event: event[0] == "body", reversed(events))
+        came = sum(len(event[1]) for event in of_chunk)
+        line = data[: len(data) - came].rstrip(b"\r\n").rpartition(b"\n")[2]
         try:
             return int(line.partition(b";")[0], 16)
         except ValueError:
             return 0
 
-    def on_chunk_header(self):
-        self._chunk_came, self._size_known = 0, False
-        super().on_chunk_header()
-
-    def on_body(self, data):
-        self._chunk_came += len(data)
-        super().on_body(data)
-
     def on_headers_complete(self):
         if self._parser.get_status_code() >= 200:
             super().on_headers_complete()
