A stop refuses requests that are not whole by the time it ends resting connections

Cause: 0.6 s after SIGTERM the node ends connections on which nothing has come. One on which part of a request had come counted as busy, and its request was taken whenever its last byte came, up to 2.2 s later.

Change: from that time on (later where streams move and few fronts keep connections) a request that is not whole gets 503 at once, and its connection's end. Nothing has been sent for it, so a retry is harmless.

Two tests called the door's method by its old name.

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -364,12 +364,15 @@
     def retire(self):
         """A stop ends a connection between requests. One on which a request was answered may hold the next,
         unread: it is not read any more, and its client sends it again elsewhere. A first one is still read
-        and answered."""
+        and answered. A request of which only a part has come is refused: it would be taken late, and nothing
+        bounds how late."""
         if self.state is State.IDLE and self.buffer.empty:
             if self.line.quiet():
                 self.close("stop")
             elif self.asked:
                 self._close_gracefully()
+        elif self.state is State.READING:
+            self.refuse(503, "the router is stopping", self.server.come_back)
 
     def close(self, why="by its owner"):
         """From any greenlet: the connection's own sees it and clears up. `why`: a few words for the log."""
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -252,6 +252,7 @@
         if reading > WHOLE_WITHIN or not conn.asked and now - conn.since > WHOLE_WITHIN and reading > PIECES:
             conn.refuse(408, "a request has to come whole within %.1f s" % (WHOLE_WITHIN / 1e6))
 
-    def close_idle(self):
+    def retire(self):
+        """A stop ends connections between requests and refuses requests that are not whole."""
         for conn in list(self.conns.values()):
             conn.retire()
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -305,7 +305,7 @@
             self.door.stop_listening()
         if gone > line.kept:
             self.door.leaving = True
-            self.door.close_idle()
+            self.door.retire()
         if line.moves is not None and gone > line.moves:
             part = min((gone - line.moves) / (line.moved - line.moves), 1)
             self.moved += self.move_streams(begun + line.last if gone < line.last else 0, self.moved, part)
--- a/tests/sockets/test_crossings.py
+++ b/tests/sockets/test_crossings.py
@@ -535,14 +535,14 @@
             **{"family-info": {**SETTINGS["family-info"], "resume": False}},
         )
         sock, conn = plain(rig)
-        close, sent = rig.node.door.close_idle, []
+        close, sent = rig.node.door.retire, []
 
         def just_then():
             if not rig.node.busy() and not sent:
                 sent.append(sock.sendall(request(x_timeout_ms="3000")))
             close()
 
-        rig.node.door.close_idle = just_then
+        rig.node.door.retire = just_then
         stop = gevent.spawn(rig.node.stop)
         data = whole(sock)
         self.assertTrue(data.endswith(EVENTS[3] + b"\r\n" + http.chunk(b"")), data)
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -908,7 +908,7 @@
         the system."""
         for name, act in (
             ("idle for long", lambda node: node.door.sweep(clock.now() + 60_000_000)),
-            ("stopping", lambda node: node.door.close_idle()),
+            ("stopping", lambda node: node.door.retire()),
             ("listening ends", lambda node: node.door.stop_listening()),
         ):
             with self.subTest(close=name):
