A slow call for the list is kept and another made beside it; half a list is no news

Cause: a call without a first line was taken for dead after 0.8 s, then 1.6 s, and what it had waited was thrown away with it.

Change: behind a call that is not answered another is made after 0.8 s, then 1.6 and 3.2 s, three at once at the most, each heard for 5 s; the first that is answered becomes the watch and the others end. None is made beside a long list that moves on. Only an empty line or a whole object is news.

--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -2,6 +2,7 @@
 is silent."""
 
 import gevent
+from gevent.event import Event
 
 from martenrouter.edge import clock
 from martenrouter.edge.line import Line
@@ -9,13 +10,14 @@
 from martenrouter.wire.platform import members, messages
 
 SILENT = 2.5  # seconds between two lines: an empty one comes every 2 s
-# Seconds. A change counts as told 6 s after the agent had it and could be reached, whatever failed before.
-# The agent answers at once: a call without a first line is given up after AT_FIRST, twice that the next time,
-# up to AT_LAST where the agent is slow. The longest chain: a watch falls silent (2.5), a call is refused
-# (0.1), the next hangs (0.2 + 0.8), one more does (0.3 + 1.6), and the one after (0.3), 5.8 s after the last
-# line, is answered. After an outage: a call that hangs across its end and one wait, 5.3 s.
-AT_FIRST, AT_LAST = 0.8, 5.0
-FIRST, LONGEST = 0.1, 0.3  # between tries
+# Seconds. A change counts as told 6 s after the agent had it and could be reached, and 4 s after a new
+# configuration. The agent answers at once: behind a call without a first line another is made after
+# NEXT_CALL, twice that the next time, and so on; all are heard, up to ANSWERED_WITHIN, so that a slow agent
+# is heard when it answers its first call. The longest chain: a watch falls silent (2.5), a call is refused
+# (0.1), the one after is made (0.2) and hangs, and the next one, at the latest 2.7 s later, is answered.
+NEXT_CALL, ANSWERED_WITHIN = 0.8, 5.0
+CALLS = 3  # that are out at once
+FIRST, LONGEST = 0.1, 0.3  # between a call that failed and the next
 # A line that is on its way for longer than the silence limit is waited for as long as it moves on: a list of
 # thousands of servers from a slow agent does, and bytes that only drip in do not
 MOVES_ON = 2048  # bytes in each second
@@ -48,14 +50,25 @@
             self._second, self._bytes = now, 0
 
 
+class Call:
+    """One call for the list; the first that is answered becomes the watch."""
+
+    def __init__(self):
+        self.greenlet = None
+        self.bytes = 0  # of its answer that have come
+
+
 class Watch:
     def __init__(self, address, revision, told, counters, log, heard=lambda: None):
         """`address`: (host, port); `told(members.Told)` takes what comes, in order; `heard()` is called after
         each line, also an empty one."""
         self.address, self.revision, self.told, self.heard = address, revision, told, heard
         self.counters, self.log = counters, log
-        self.greenlet, self.lines = None, 0  # lines: how many whole ones have come
+        self.greenlet = None
         self.line_within = LINE_WITHIN
+        self._calls = []  # those that are out, oldest first
+        self._answered = None  # the one that is the watch
+        self._changed = Event()  # one was answered, or ended
 
     def start(self):
         self.greenlet = gevent.spawn(self._run)
@@ -64,30 +77,70 @@
         """Another agent; the list that is held stays, and what changed since is asked for there."""
         if address != self.address:
             self.address = address
-            self.greenlet.kill(block=False)
+            self.greenlet.kill()
             self.start()
 
     def _run(self):
-        wait, patience = FIRST, AT_FIRST
-        while True:
-            begun, hung = self.lines, False
-            try:
-                self._follow(patience)
-            except (Exception, gevent.Timeout) as why:
-                # whatever it was, this node's own fault too: without a watch every drain would be broken from
-                # here on
-                hung = isinstance(why, gevent.Timeout)  # a refusal says nothing of a slow agent
-                self.counters["watch_broken"] += 1
-                self.log.info("watch_broken", why="%s: %s" % (type(why).__name__, why))
-            if self.lines > begun:  # it had been answered
-                wait, patience = FIRST, AT_FIRST
-            gevent.sleep(wait)
-            wait = min(2 * wait, LONGEST)
-            patience = min(2 * patience, AT_LAST) if hung and self.lines == begun else patience
-
-    def _follow(self, patience):
-        """`patience`: seconds to the first bytes, and between bytes up to the end of the first line."""
+        try:
+            while True:
+                self._call_until_answered()
+                while self._answered is not None:
+                    self._changed.wait()
+                    self._changed.clear()
+                gevent.sleep(FIRST)
+        finally:
+            self._end_others(None)
+
+    def _call_until_answered(self):
+        wait, next_call, came = FIRST, NEXT_CALL, 0
+        while self._answered is None:
+            # a long list that moves on is not asked for twice
+            moves_on = sum(call.bytes for call in self._calls) - came >= MOVES_ON * next_call
+            if not self._calls or len(self._calls) < CALLS and not moves_on:
+                self._begin_call()
+            out, came = len(self._calls), sum(call.bytes for call in self._calls)
+            ended = self._changed.wait(timeout=next_call)
+            self._changed.clear()
+            if self._answered is None and ended and len(self._calls) < out:
+                gevent.sleep(wait)  # it was refused or closed: that says nothing of a slow agent
+                wait = min(2 * wait, LONGEST)
+            elif not ended:
+                next_call = min(2 * next_call, ANSWERED_WITHIN)
+
+    def _begin_call(self):
+        call = Call()
+        self._calls.append(call)
+        call.greenlet = gevent.spawn(self._carry, call)
+
+    def _carry(self, call):
+        try:
+            self._follow(call)
+        except (Exception, gevent.Timeout) as why:
+            # whatever it was, this node's own fault too: without a watch every drain would be broken from
+            # here on
+            self.counters["watch_broken"] += 1
+            self.log.info("watch_broken", why="%s: %s" % (type(why).__name__, why))
+        finally:
+            self._calls = [other for other in self._calls if other is not call]
+            if self._answered is call:
+                self._answered = None
+            self._changed.set()
+
+    def _is_answered(self, call):
+        """The call's first line came: it is the watch."""
+        if self._answered is not call:
+            self._end_others(call)
+            self._answered = call
+            self._changed.set()
+
+    def _end_others(self, call):
+        for other in self._calls:
+            if other is not call:
+                other.greenlet.kill(block=False)
+
+    def _follow(self, call):
         line, reader, lines = None, messages.Lasting(), members.Lines()
+        patience = ANSWERED_WITHIN  # seconds to the first bytes, and between bytes up to the first line's end
         progress = LineProgress(patience * 1e6, self.line_within * 1e6)
         silence = gevent.Timeout.start_new(patience)
         try:
@@ -97,9 +150,10 @@
                 data = line.recv(64 * 1024)
                 if not data:
                     raise OSError("closed by the agent")
+                call.bytes += len(data)
                 for event in reader.feed(data):
                     if event[0] == "body":
-                        self._take(lines.feed(event[1]))
+                        self._take(call, lines, event[1])
                     elif event[0] == "head" and event[1].status != 200:
                         raise http.BadBytes("status %d" % event[1].status)
                     elif event[0] == "bad":
@@ -108,10 +162,11 @@
                         raise OSError("ended by the agent")
                 if lines.count:
                     # whole lines alone show that the watch lives, not bytes of one that never ends
-                    self.lines, lines.count = self.lines + lines.count, 0
+                    lines.count = 0
                     self.line_within, patience = LINE_WITHIN, SILENT
                     progress = LineProgress(patience * 1e6, self.line_within * 1e6)
-                    self.heard()
+                    if not lines.inside:
+                        self.heard()
                 else:
                     progress.came(clock.now(), len(data))
                 silence.close()
@@ -124,7 +179,10 @@
             if line is not None:
                 line.close()
 
-    def _take(self, whole):
+    def _take(self, call, lines, data):
+        whole = lines.feed(data)
+        if lines.count and not lines.inside:
+            self._is_answered(call)
         for told in whole:
             message = members.told(told)
             self.told(message)
--- a/martenrouter/wire/platform/members.py
+++ b/martenrouter/wire/platform/members.py
@@ -97,6 +97,11 @@
         self._rest, self._rest_size = [], 0  # pieces of the line that has no end yet, and their bytes
         self._object, self._size, self._depth, self.count = [], 0, 0, 0
 
+    @property
+    def inside(self):
+        """Whether an object has begun, on a whole line, and not ended."""
+        return self._depth > 0
+
     def feed(self, data):
         """Raises BadLine when an object has no end within LINE_LIMIT."""
         self._rest.append(data)
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from unittest import mock
 
@@ -608,19 +609,22 @@
             agent.raw(data)
 
     def test_the_longest_chain_of_failed_calls_ends_within_the_term(self):
-        # counted, not timed: what each call and each wait may take, by the watch's own constants
+        # played with the watch's own constants, all of them so many times shorter
+        names = ("SILENT", "NEXT_CALL", "ANSWERED_WITHIN", "FIRST", "LONGEST")
+        shorter = {name: getattr(watch_module, name) / CHAIN_FASTER for name in names}
+
         class Chain(Watch):
-            def _follow(self, patience):
-                self.begun.append(self.spent)
-                self.spent += {"silent": watch_module.SILENT, "hangs": patience, "refused": 0, "answered": 0}[
-                    steps[0]
-                ]
-                self.lines += steps[0] in ("silent", "answered")
-                raise {"refused": OSError, "answered": gevent.GreenletExit}.get(steps.pop(0), gevent.Timeout)
-
-        def sleep(seconds):
-            chain.spent += seconds
-            self.assertTrue(steps, "went on after the last step")
+            def _follow(self, call):
+                self.begun.append(time.monotonic())
+                step = steps.pop(0)
+                if step == "refused":
+                    raise OSError
+                if step == "answered":
+                    self.ended.set()
+                if step == "silent":
+                    self._is_answered(call)
+                gevent.sleep(shorter["SILENT" if step == "silent" else "ANSWERED_WITHIN"])
+                raise gevent.Timeout
 
         for steps in (
             ["silent", "hangs", "hangs", "answered"],
@@ -632,12 +636,14 @@
             outage = (
                 steps[0] != "silent"
             )  # then the agent may have come back in the last call that failed, at its begin
-            with self.subTest(steps=list(steps)), mock.patch.object(watch_module.gevent, "sleep", sleep):
+            with self.subTest(steps=list(steps)), mock.patch.multiple(watch_module, **shorter):
                 chain = Chain(("127.0.0.1", 1), 0, None, collections.Counter(), mock.Mock())
-                chain.spent, chain.begun = 0, []
-                with self.assertRaises(gevent.GreenletExit):
-                    chain._run()
-                self.assertLess(chain.spent - (chain.begun[-2] if outage else 0), 6)
+                chain.begun, chain.ended = [], gevent.event.Event()
+                chain.start()
+                self.assertTrue(chain.ended.wait(timeout=10))
+                chain.greenlet.kill()
+                took = chain.begun[-1] - chain.begun[-2 if outage else 0]
+                self.assertLess(took * CHAIN_FASTER, 6)
 
     def test_reload_moves_to_another_agent_and_a_bad_file_changes_nothing(self):
         rig, other = self.pair(), Agent()
@@ -654,6 +660,9 @@
         self.assertEqual(len(rig.node.phases), 2)
 
 
+CHAIN_FASTER = 10  # times that the watch's bounds are shorter where a chain of them is played
+
+
 BAD = {
     "noise": b"\x16\x03\x01\x02\x00\x01\x00" * 30,
     "no length": b"POST /v1/chat/completions HTTP/1.1\r\n\r\n",
--- a/tests/sockets/test_silent_agent.py
+++ b/tests/sockets/test_silent_agent.py
@@ -1,5 +1,6 @@
 """A process that starts while its agent is silent: its configuration's list may be old."""
 
+import json
 import tempfile
 import time
 import unittest
@@ -11,7 +12,7 @@
 from tests.helpers import Rig as PolicyRig
 from tests.helpers import row
 from tests.sockets.node_process import NodeProcess
-from tests.sockets.node_rig import SETTINGS, Agent, Client, Engine, is_ready, request
+from tests.sockets.node_rig import SETTINGS, Agent, Client, Engine, Rig, is_ready, request
 
 PORTS = Ports()
 READY_BY = 10  # seconds, by the page
@@ -94,12 +95,47 @@
     def test_half_a_list_is_none(self):
         engines = self.engines()
         members = [engine.member() for engine in engines]
-        node, agent = self.play(Agent.line(2, members, True)[:200], members)
-        begun = time.monotonic()
-        node.launch()
-        while time.monotonic() < begun + 2:
-            self.assertFalse(is_ready(("127.0.0.1", node.port)))
-            gevent.sleep(0.1)
+        line = Agent.line(2, members, True)
+        indented = json.dumps(json.loads(line), indent=1).encode()
+        for half in (line[:200], indented[: len(indented) // 2]):
+            with self.subTest(half[:20]):
+                node, agent = self.play(half, members)
+                begun = time.monotonic()
+                node.launch()
+                while time.monotonic() < begun + 2:
+                    self.assertFalse(is_ready(("127.0.0.1", node.port)))
+                    gevent.sleep(0.1)
+
+
+class SlowAgent(Agent):
+    """Answers each call so many seconds later."""
+
+    def __init__(self, seconds):
+        super().__init__()
+        self._seconds = seconds
+
+    def _accepted(self, sock, address):
+        gevent.sleep(self._seconds)
+        super()._accepted(sock, address)
+
+
+class Reloads(unittest.TestCase):
+    TOLD_BY = 4.0  # seconds after SIGHUP, by the page
+
+    # Review 5: calls were given up one after the other, each of which the agent would have answered.
+    def test_a_slow_agent_is_heard_when_it_answers_its_first_call(self):
+        for seconds in (0.5, 1.2, 2.5, 3.8):
+            with self.subTest(seconds=seconds):
+                rig = Rig(Engine("r", "prefill"), Engine("w", "decode"))
+                self.addCleanup(rig.close)
+                slow = SlowAgent(seconds)
+                self.addCleanup(slow.server.stop)
+                slow.greeting = slow.line(2, [rig.engines["r"].member("leaving")])
+                rig.write(slow.address)
+                begun = time.monotonic()
+                rig.node.reload()
+                rig.until(lambda: rig.node.phases["r"] == "draining", within=8)
+                self.assertLess(time.monotonic() - begun, self.TOLD_BY)
 
 
 class Policy(unittest.TestCase):
