Requests that wait for discovery say so; unknown buffer sizes stop no request

A request refused while the configuration's list is not confirmed was logged as `queue_longer_than_target`; its reason is `discovery_not_heard` now.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -80,6 +80,14 @@
             pass
 
 
+def receive_buffer(sock):
+    """Bytes that the system may hold of what comes, as it counts them; 0 where it does not say."""
+    try:
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    except OSError:
+        return 0
+
+
 def _wait_for(sock, events):
     hub = gevent.get_hub()
     watcher = hub.loop.io(sock.fileno(), events)
--- a/martenrouter/node/listener.py
+++ b/martenrouter/node/listener.py
@@ -7,7 +7,7 @@
 
 from gevent.server import StreamServer
 
-from martenrouter.edge.line import limit_buffers
+from martenrouter.edge.line import limit_buffers, receive_buffer
 
 BACKLOG = 1024  # connections that may wait in the system's queue
 AT_ONCE = (
@@ -93,7 +93,7 @@
         super().init_socket()
         # before connections come: theirs are as the listening socket's
         limit_buffers(self.socket, *self._buffers)
-        self.receive_buffer = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        self.receive_buffer = receive_buffer(self.socket)
 
     def do_read(self):
         """(socket, since when it can have waited), None where none can be taken now. Raises OSError where the
--- a/martenrouter/policy/reasons.py
+++ b/martenrouter/policy/reasons.py
@@ -15,4 +15,5 @@
     PROCESS_LATE = "this_process_is_late"
     STATE_LIMIT = "state_held_to_its_limit"
     CLIENT_UNSEEN = "client_may_have_left"
+    LIST_UNCONFIRMED = "discovery_not_heard"
     OTHER = "decided_elsewhere"
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -36,8 +36,8 @@
     def sees_end(unread, buffer):
         """Whether the end of a connection on which so many bytes stand unread would be seen. With more, its
         peer may have closed long ago behind bytes for which there is no room: the system takes a third of
-        `buffer`, its bound, and more."""
-        return unread < buffer // 4
+        `buffer`, its bound, and more. 0 for a bound that is not known."""
+        return not buffer or unread < buffer // 4
 
     @staticmethod
     def refused_first(unfinished, now):
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -829,8 +829,13 @@
                 self.send(r, engine, engine.role == "read")
                 ahead += need
             elif not able or self.now + alone + queue > r.target:  # too late even with none of ours before it
-                queued = GiveUp.QUEUE if in_time else GiveUp.PROCESS_LATE
-                self.give_up(r, queued if able else GiveUp.ATTEMPTS)
+                self.give_up(r, self.why_unread(in_time) if able else GiveUp.ATTEMPTS)
+
+    def why_unread(self, in_time):
+        """Why a request that might have been read was not. `in_time`: whether this process keeps up."""
+        if not self.endpoint_list.may_be_used(self.now):
+            return GiveUp.LIST_UNCONFIRMED
+        return GiveUp.QUEUE if in_time else GiveUp.PROCESS_LATE
 
     def pick_reader(self, r):
         engines, strains = self.usable(True, r)
--- a/tests/sockets/test_silent_agent.py
+++ b/tests/sockets/test_silent_agent.py
@@ -9,6 +9,7 @@
 
 from martenrouter.lab.processes import Ports
 from martenrouter.policy.endpoint_list import READY_WITHIN, TRUSTED_AFTER
+from martenrouter.policy.reasons import GiveUp
 from tests.helpers import Rig as PolicyRig
 from tests.helpers import row
 from tests.sockets.node_process import NodeProcess
@@ -161,6 +162,7 @@
         self.assertEqual(rig.ask(1).all("forward"), [])
         told = rig.play(after=1_100_000)
         self.assertEqual([kind for kind, *_ in told if kind in ("forward", "push_back")], ["push_back"])
+        self.assertIs(rig.front.given_up_for, GiveUp.LIST_UNCONFIRMED)
 
     def test_an_old_list_is_better_than_none_for_long(self):
         rig = self.rig()
