Unread answers are counted as they are put; a sixth of memory for what is on its way

Beside 600 clients that leave long answers the peak was 83 to 93 MB of 192, close to the half that is asked for: the sum of what is left unread was taken each 50 ms, and what servers' answers hold on their way is not in it (some 40 KB an attempt). It is taken with each part that waits now, and the budget is a sixth of the memory.

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -296,6 +296,8 @@
 
     def pass_on(self, data):
         self.put(http.chunk(data))
+        if not self.buffer.empty:
+            self.server.left_unread(self)
 
     def end_stream(self):
         self.put(http.chunk(b""))
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -120,6 +120,14 @@
             self.counters["refused_for_memory"] += 1
             conn.refuse(503, "too many bytes are on their way", self.come_back)
 
+    def left_unread(self, conn):
+        """A part of an answer that was just put waits for its client."""
+        now, before = clock.now(), conn.unsent
+        conn.look_at_unsent(now)
+        self.bytes_unsent += conn.unsent - before
+        if self.bytes_unsent + self.bytes_held > self.bytes_limit:
+            self.close_unread_answers(now)
+
     def close_unread_answers(self, now):
         """Closes clients that leave their answers unread while these hold more memory than they may."""
         waiting = [conn for conn in self.conns.values() if conn.unsent]
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -26,9 +26,9 @@
 from martenrouter.wire.platform import configuration as codec
 from martenrouter.wire.platform import members
 
-# bytes for each MB of memory: a fifth of it for requests that are read or open and for answers that their
+# bytes for each MB of memory: a sixth of it for requests that are read or open and for answers that their
 # clients have not taken; 3 MB of usual ones are on their way at once
-ON_THEIR_WAY = 1_000_000 // 5
+ON_THEIR_WAY = 1_000_000 // 6
 # Shares of the descriptors. Clients: the usual ones' reqs hold a third at most, the rest is for bad ones. A
 # third for reqs, each of which has one forward out. Kept connections to all engines together. What is left,
 # an eighth, is the reserve of the list's watch, calls to let go, the door and files: nothing that clients do
