--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -13,8 +13,6 @@
     # length costs little
     read_part, read_pieces = 4 * 1024, 200
 
-    # microseconds: an answer that waits for its client this long waits for a slow one
-    slow_client = 500_000
     # bytes that the system may hold of one connection to a client, in each direction
     receive_buffer, send_buffer = 256 * 1024, 64 * 1024
 
