A new configuration ends all calls to the old agent before the first call to the new one

The calls to the old agent were ended after the new watch had begun, and what they left behind (an event that was set, one that counted as answered) made up to four calls at once to the new agent, of which none stayed open.

--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -78,6 +78,10 @@
         if address != self.address:
             self.address = address
             self.greenlet.kill()
+            # all of them have ended before the first call to the other agent is made
+            gevent.killall([call.greenlet for call in self._calls])
+            self._calls, self._answered = [], None
+            self._changed.clear()
             self.start()
 
     def _run(self):
--- a/tests/sockets/test_silent_agent.py
+++ b/tests/sockets/test_silent_agent.py
@@ -138,6 +138,18 @@
                 rig.until(lambda: rig.node.phases["r"] == "draining", within=8)
                 self.assertLess(time.monotonic() - begun, self.TOLD_BY)
 
+    # Review 5, related: what was left of the calls to the agent before made a second call at once.
+    def test_an_agent_that_answers_is_called_once(self):
+        for _ in range(5):
+            rig, other = Rig(Engine("r", "prefill"), Engine("w", "decode")), Agent()
+            self.addCleanup(rig.close)
+            self.addCleanup(other.server.stop)
+            rig.write(other.address)
+            rig.node.reload()
+            rig.until(lambda: other.open and not rig.agent.open)
+            gevent.sleep(0.2)
+            self.assertEqual((len(other.asked), len(other.open)), (1, 1))
+
 
 class Policy(unittest.TestCase):
     ROWS = [row("r1", "rd"), row("w1", "wr")]
