--- a/tests/sockets/bad_clients.py
+++ b/tests/sockets/bad_clients.py
@@ -1,8 +1,10 @@
 """Bad clients of one shape, in a process of their own: `python -m tests.sockets.bad_clients SHAPE PORT COUNT
-SECONDS`. They send as fast as they can, read what they are sent, and come again when they are turned away.
+SECONDS AFTER`. They send as fast as they can, read what they are sent, and come again when they are turned
+away.
 """
 
 import argparse
+import collections
 import itertools
 import selectors
 import socket
@@ -13,6 +15,7 @@
 ID = "X-Request-ID: %016x\r\nX-Priority-Class: chat\r\nX-Timeout-Ms: 2000\r\n"
 NUMBERS = itertools.count(0xBAD00000)
 HALF_BODY = 250_000  # bytes of 256 KiB
+DRIP, DRIPS_EACH = 4096, 0.05  # bytes, and seconds from one piece to the next
 
 
 def sound_head(more=""):
@@ -88,6 +91,29 @@
     yield HEAD
 
 
+def body_drips():
+    """A body in ever new pieces, none of them the last."""
+    yield sound_head("Content-Length: 262144\r\n\r\n")
+    while True:
+        yield b"x" * DRIP
+        yield None
+
+
+def chunk_drips():
+    """As `body_drips`, in chunks."""
+    yield sound_head("Transfer-Encoding: chunked\r\n\r\n")
+    while True:
+        yield b"%x\r\n%s\r\n" % (DRIP, b"x" * DRIP)
+        yield None
+
+
+def whole_bodies():
+    """Sound requests of nearly the largest size, one after the other."""
+    body = b'{"messages":[{"role":"user","content":"%s"}]}' % (b"x" * HALF_BODY)
+    while True:
+        yield sound_head("Content-Length: %d\r\n\r\n" % len(body)) + body
+
+
 def long_answers():
     """A sound request whose answer is long; it is read slowly."""
     body = b'{"messages":[{"role":"user","content":"long"}],"stream":true,"max_tokens":9}'
@@ -109,27 +135,44 @@
         half_bodies,
         half_heads,
         slow_writers,
+        body_drips,
+        chunk_drips,
+        whole_bodies,
         long_answers,
     )
 }
 READS_SLOWLY = {"long_answers"}
+# each client of "mixed" has one of these
+MIXED = (
+    "half_bodies",
+    "many_fields",
+    "half_heads",
+    "slow_writers",
+    "body_drips",
+    "whole_bodies",
+    "long_answers",
+)
 
 
 class BadClient:
     def __init__(self, shape, port):
+        self.reads = shape not in READS_SLOWLY
         self.sock = socket.socket()
         self.sock.setblocking(False)
-        if shape in READS_SLOWLY:
+        if not self.reads:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.sock.connect_ex(("127.0.0.1", port))
         self._parts, self._left = SHAPES[shape](), memoryview(b"")
 
     def write(self):
-        """Whether there is more to send. Raises OSError."""
+        """Whether there is more to send; None: after a while. Raises OSError."""
         if not self._left:
-            part = next(self._parts, None)
-            if part is None:
+            try:
+                part = next(self._parts)
+            except StopIteration:
                 return False
+            if part is None:
+                return None
             self._left = memoryview(part)
         self._left = self._left[self.sock.send(self._left) :]
         return True
@@ -139,21 +182,24 @@
     """`count` clients that come again as soon as they are turned away."""
 
     def __init__(self, shape, port, count):
-        self._shape, self._port = shape, port
-        self._watch, self.turned_away = selectors.DefaultSelector(), 0
-        self._waiting = []  # clients that read nothing
-        self._reads = selectors.EVENT_READ if shape not in READS_SLOWLY else 0
-        for _ in range(count):
-            self._begin()
-
-    def _begin(self):
-        client = BadClient(self._shape, self._port)
-        self._watch.register(client.sock, selectors.EVENT_WRITE | self._reads, client)
+        self._port, self.turned_away = port, 0
+        self._watch, self._waiting = selectors.DefaultSelector(), []  # clients that read nothing any more
+        self._pausing = collections.deque()  # (until when, client), soonest first
+        shapes = itertools.cycle(MIXED) if shape == "mixed" else itertools.repeat(shape)
+        for each in itertools.islice(shapes, count):
+            self._begin(each)
+
+    def _begin(self, shape):
+        client = BadClient(shape, self._port)
+        client.shape = shape
+        self._watch.register(client.sock, selectors.EVENT_WRITE | client.reads * selectors.EVENT_READ, client)
 
     def play(self, seconds):
         until = time.monotonic() + seconds
-        while time.monotonic() < until:
-            for key, events in self._watch.select(0.1):
+        while (now := time.monotonic()) < until:
+            while self._pausing and self._pausing[0][0] <= now:
+                self._wait_for(self._pausing.popleft()[1], selectors.EVENT_WRITE | selectors.EVENT_READ)
+            for key, events in self._watch.select(DRIPS_EACH / 2):
                 try:
                     self._act(key.data, events)
                 except BlockingIOError:
@@ -161,31 +207,39 @@
                 except OSError:
                     self._come_again(key.data)
 
+    def _wait_for(self, client, events):
+        if client.sock.fileno() >= 0:
+            self._watch.modify(client.sock, events, client)
+
     def _act(self, client, events):
         if events & selectors.EVENT_READ:
             if not client.sock.recv(READ_AT_ONCE):
                 raise ConnectionResetError
-        elif events & selectors.EVENT_WRITE and not client.write():
-            if self._reads:
-                self._watch.modify(client.sock, self._reads, client)
-            else:
+        elif events & selectors.EVENT_WRITE and not (goes_on := client.write()):
+            if not client.reads:
                 self._watch.unregister(client.sock)
                 self._waiting.append(client)
+                return
+            self._watch.modify(client.sock, selectors.EVENT_READ, client)
+            if goes_on is None:
+                self._pausing.append((time.monotonic() + DRIPS_EACH, client))
 
     def _come_again(self, client):
         self.turned_away += 1
         self._watch.unregister(client.sock)
         client.sock.close()
-        self._begin()
+        self._begin(client.shape)
 
 
 def main():
     parser = argparse.ArgumentParser()
-    parser.add_argument("shape", choices=SHAPES)
+    parser.add_argument("shape", choices=[*SHAPES, "mixed"])
     parser.add_argument("port", type=int)
     parser.add_argument("count", type=int)
     parser.add_argument("seconds", type=float)
+    parser.add_argument("after", type=float, help="seconds before they come")
     told = parser.parse_args()
+    time.sleep(told.after)
     crowd = Crowd(told.shape, told.port, told.count)
     crowd.play(told.seconds)
     print(crowd.turned_away)
--- a/tests/sockets/crowded_node.py
+++ b/tests/sockets/crowded_node.py
@@ -1,8 +1,10 @@
 """A front node as a process under bad clients, and what its usual clients see of it.
 
-`python -m tests.sockets.crowded_node [SHAPE=COUNT ...]` plays each shape and prints a line of it.
+`python -m tests.sockets.crowded_node [--memory MB] [--sockets N] [--servers N] [--early] [SHAPE=COUNT ...]`
+plays each shape and prints a line of it; shapes joined by `+` come one after the other.
 """
 
+import argparse
 import collections
 import dataclasses
 import subprocess
@@ -14,7 +16,7 @@
 
 from martenrouter.lab.processes import Ports
 from martenrouter.wire import http
-from tests.sockets.node_process import ROOT, NodeProcess
+from tests.sockets.node_process import READY_WITHIN, ROOT, NodeProcess
 from tests.sockets.node_rig import EVENTS, HEAD, SETTINGS, Agent, Engine, request
 
 USUAL, EACH = 75, 0.08  # requests, and seconds from one to the next
@@ -26,6 +28,7 @@
 PORTS = Ports()
 FAULT_EVENTS = "round_failed", "look_failed", "connection_failed", "forward_failed", "violation"
 MEMORY_EACH = 0.05  # seconds between looks at the node's memory
+AFTER = 10  # usual requests once the crowd has gone
 DEFAULT = {
     "short_lines": 200,
     "empty_lines": 8,
@@ -39,7 +42,11 @@
     "half_bodies": 600,
     "half_heads": 600,
     "slow_writers": 600,
+    "body_drips": 600,
+    "chunk_drips": 600,
+    "whole_bodies": 600,
     "long_answers": 300,
+    "mixed": 600,
 }
 
 
@@ -59,61 +66,85 @@
 
 
 class CrowdedNode:
-    """`count` bad clients of one shape, and usual ones beside them."""
+    """`count` bad clients of one shape, or of several in turn, and usual ones beside them.
 
-    def __init__(self, shape, count, memory_mb=192):
-        self._shape, self._count, self.memory_mb = shape, count, memory_mb
+    `servers`: decode servers of the list; `early`: the crowd is there before the node is.
+    """
+
+    def __init__(self, shape, count, memory_mb=192, sockets=1024, servers=3, early=False):
+        self._shape, self._count, self.memory_mb, self._early = shape, count, memory_mb, early
         self._folder = tempfile.TemporaryDirectory(prefix="crowded-node-")
         self._agent = Agent()
         engines = [Engine("r%d" % n, "prefill") for n in range(2)]
-        engines += [Engine("w%d" % n, "decode", script=_answer_long) for n in range(3)]
+        engines += [Engine("w%d" % n, "decode", script=_answer_long) for n in range(servers)]
         self._engines = engines
         members = [engine.member() for engine in engines]
         self._node = NodeProcess(
-            self._folder.name, PORTS.take(), SETTINGS, members, self._agent, memory_mb=memory_mb
+            self._folder.name, PORTS.take(), SETTINGS, members, self._agent, None, sockets, memory_mb
         )
-        self.seen, self.peak_mb, self.late, self.crashed = [], 0.0, 0.0, False
+        self.seen, self.after, self.late, self.crashed = [], [], 0.0, False
+        # millions of bytes: at rest, at most, with shared memory by share, and what the system held of
+        # clients' connections
+        self.rest_mb = self.peak_mb = self.own_mb = self.queued_mb = 0.0
         self.faults = collections.Counter()  # of the node itself, by the names of their log events
 
     def play(self):
-        crowd = None
+        crowds = []
         watch = gevent.spawn(self._watch_memory)
         heart = gevent.spawn(self._beat)
         try:
+            if self._early:
+                crowds = self._start_crowds()
             self._node.start()
-            crowd = self._start_crowd()
+            self.rest_mb = self._node.memory_mb()
+            crowds = crowds or self._start_crowds()
             gevent.sleep(BEFORE)
-            jobs = []
-            for n in range(USUAL):
-                jobs.append(gevent.spawn(self._ask, n))
-                gevent.sleep(EACH)
-            gevent.joinall(jobs, timeout=TIMEOUT + 10)
+            self._ask_usual(USUAL, self.seen)
+            self._end(crowds)
+            self._ask_usual(AFTER, self.after)
             self.crashed = not self._node.is_running()
+            self.peak_mb = self._node.peak_memory_mb()
             self.faults.update(line["event"] for line in self._node.lines() if line["event"] in FAULT_EVENTS)
             self.late = max((line["loop_late_most"] for line in self._node.lines("load")), default=0) / 1e6
         finally:
             watch.kill()
             heart.kill()
-            if crowd is not None:
-                crowd.kill()
-                crowd.wait()
+            self._end(crowds)
             self._close()
         return self
 
-    def _start_crowd(self):
-        seconds = BEFORE + USUAL * EACH + TIMEOUT
-        told = [self._shape, self._node.port, self._count, seconds]
-        command = [sys.executable, "-m", "tests.sockets.bad_clients", *map(str, told)]
-        return subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
+    def _start_crowds(self):
+        """One process for each shape; several share the time."""
+        shapes = self._shape.split("+")
+        seconds = BEFORE + USUAL * EACH + TIMEOUT + (READY_WITHIN if self._early else 0)
+        module = [sys.executable, "-m", "tests.sockets.bad_clients"]
+        crowds = []
+        for n, shape in enumerate(shapes):
+            told = [shape, self._node.port, self._count, seconds / len(shapes), n * seconds / len(shapes)]
+            crowds.append(subprocess.Popen([*module, *map(str, told)], cwd=ROOT, stdout=subprocess.DEVNULL))
+        return crowds
+
+    @staticmethod
+    def _end(crowds):
+        for crowd in crowds:
+            crowd.kill()
+            crowd.wait()
+
+    def _ask_usual(self, count, seen):
+        jobs = []
+        for n in range(count):
+            jobs.append(gevent.spawn(self._ask, n + len(self.seen) * (seen is self.after), seen))
+            gevent.sleep(EACH)
+        gevent.joinall(jobs, timeout=TIMEOUT + 10)
 
     def _beat(self):
         while True:
             gevent.sleep(1)
             self._agent.raw(http.chunk(b"\n"))
 
-    def _ask(self, n):
+    def _ask(self, n, all_seen):
         seen = Seen()
-        self.seen.append(seen)
+        all_seen.append(seen)
         begun = time.monotonic()
         try:
             client = self._node.client()
@@ -134,7 +165,8 @@
         while True:
             gevent.sleep(MEMORY_EACH)
             if self._node.is_running():
-                self.peak_mb = max(self.peak_mb, self._node.memory_mb())
+                self.own_mb = max(self.own_mb, self._node.own_memory_mb())
+                self.queued_mb = max(self.queued_mb, self._node.queued_mb())
 
     def _close(self):
         self._node.close()
@@ -148,36 +180,46 @@
     def served(self):
         return sum(seen.status == SERVED for seen in self.seen)
 
+    def served_after(self):
+        """Of AFTER, once the crowd had gone."""
+        return sum(seen.status == SERVED for seen in self.after)
+
     def lost(self):
         """How many had no answer by half a second after their time."""
         return sum(
-            seen.first_after is None or seen.first_after > TIMEOUT + ANSWER_SLACK for seen in self.seen
+            seen.first_after is None or seen.first_after > TIMEOUT + ANSWER_SLACK
+            for seen in self.seen + self.after
         )
 
     def latest(self):
         return max((seen.first_after for seen in self.seen if seen.first_after is not None), default=0.0)
 
     def summary(self):
-        return (
-            "%s from %d: %d of %d served, %d lost, latest answer %.2f s, peak %.0f MB, loop late %.0f ms%s"
-            % (
-                self._shape,
-                self._count,
-                self.served(),
-                len(self.seen),
-                self.lost(),
-                self.latest(),
-                self.peak_mb,
-                self.late * 1000,
-                ", crashed" if self.crashed else "",
-            )
-        )
+        parts = [
+            "%s from %d at %g MB" % (self._shape, self._count, self.memory_mb),
+            "%d of %d served, %d lost" % (self.served(), len(self.seen), self.lost()),
+            "%d of %d after" % (self.served_after(), AFTER),
+            "latest answer %.2f s" % self.latest(),
+            "RSS %.1f at rest, %.1f at most" % (self.rest_mb, self.peak_mb),
+            "PSS %.1f" % self.own_mb,
+            "queued %.1f" % self.queued_mb,
+            "loop late %.0f ms" % (self.late * 1000),
+        ]
+        return "; ".join(parts) + ("; crashed" if self.crashed else "")
 
 
 def main():
-    told = dict(argument.split("=") for argument in sys.argv[1:]) or DEFAULT
-    for shape, count in told.items():
-        print(CrowdedNode(shape, int(count)).play().summary(), flush=True)
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--memory", type=float, default=192)
+    parser.add_argument("--sockets", type=int, default=1024)
+    parser.add_argument("--servers", type=int, default=3)
+    parser.add_argument("--early", action="store_true")
+    parser.add_argument("shapes", nargs="*")
+    told = parser.parse_args()
+    shapes = dict(argument.split("=") for argument in told.shapes) or DEFAULT
+    for shape, count in shapes.items():
+        node = CrowdedNode(shape, int(count), told.memory, told.sockets, told.servers, told.early)
+        print(node.play().summary(), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/sockets/node_process.py
+++ b/tests/sockets/node_process.py
@@ -13,6 +13,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 READY_WITHIN = 10  # seconds, by the page
+LISTENS = "0A"  # a listening socket's state in /proc/net/tcp
 
 
 class NodeProcess:
@@ -67,13 +68,35 @@
         return self._popen is not None and self._popen.poll() is None
 
     def memory_mb(self):
-        """What it holds of the machine's memory; 0 once it has ended."""
+        """What it holds of the machine's memory (RSS); 0 once it has ended."""
+        return self._told_mb("status", "VmRSS:")
+
+    def peak_memory_mb(self):
+        """The most that it has held since its start, as the system noted it."""
+        return self._told_mb("status", "VmHWM:")
+
+    def own_memory_mb(self):
+        """As `memory_mb`, with its share of what it has in common with other processes (PSS)."""
+        return self._told_mb("smaps_rollup", "Pss:")
+
+    def _told_mb(self, file, name):
+        """In millions of bytes, as the configuration's limit."""
         try:
-            with open("/proc/%d/status" % self.pid) as told:
-                lines = [line.split() for line in told if line.startswith("VmRSS:")]
+            with open("/proc/%d/%s" % (self.pid, file)) as told:
+                sizes = [int(line.split()[1]) for line in told if line.startswith(name)]
         except OSError:
             return 0.0
-        return int(lines[0][1]) / 1024 if lines else 0.0
+        return sizes[0] * 1024 / 1e6 if sizes else 0.0
+
+    def queued_mb(self):
+        """Bytes that the system holds for its clients' connections, received and unsent."""
+        port, total = ":%04X" % self.port, 0
+        with open("/proc/net/tcp") as told:
+            for line in told:
+                fields = line.split()
+                if fields[1].endswith(port) and fields[3] != LISTENS:
+                    total += sum(int(size, 16) for size in fields[4].split(":"))
+        return total / 1e6
 
     def client(self):
         """Raises OSError where it takes no connection."""
