The log tells resident memory, limits, and what was turned away and why

The report's logs could not tell a planned kill from the memory limit: no line named memory, limits or refusals of requests that were not whole. node_started tells the limits and what is resident; load tells memory, its peak, clients by state and the counters of refusals that rose; memory_high warns from nine tenths of the limit, with what is held.

--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -69,7 +69,7 @@
             None  # a planned stop: when every answer has to be out, whatever deadline its client gave
         )
         self.guard = Guard(settings, counters, log)
-        self.load = Load(log, clock.now(), LOOKS)
+        self.load = Load(log, clock.now(), LOOKS, counters)
         self.states = HeldStates(settings, counters, log)
         self.reqs, self.roles = {}, dict(zip(settings.get("kinds", ()), settings.get("role_by_kind", ())))
         self.phases, self.kinds = self.guard.phases, {}  # engine -> its phase and kind, as last told
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -18,6 +18,7 @@
 from martenrouter.node.engines import Engines
 from martenrouter.node.hands import LOOKS, Hands
 from martenrouter.node.leaving import TimeLine
+from martenrouter.node.process_memory import ProcessMemory
 from martenrouter.node.server_starts import ServerStarts
 from martenrouter.node.signals import ignore_from_now_on
 from martenrouter.node.watch import Watch
@@ -26,6 +27,7 @@
 from martenrouter.wire.platform import configuration as codec
 from martenrouter.wire.platform import members
 
+MEGABYTE = 1_000_000  # bytes, as the settings count
 # bytes for each MB of memory: a sixth of it for requests that are read or open and for answers that their
 # clients have not taken; 3 MB of usual ones are on their way at once
 ON_THEIR_WAY = 1_000_000 // 6
@@ -63,6 +65,8 @@
         self.drains = Drains()
         self.desk = Desk(Front(_seed(settings), plain), self, log)
         sockets = settings.limits.sockets
+        self.sockets, self.memory_limit = sockets, int(settings.limits.memory_mb * MEGABYTE)
+        self.memory = ProcessMemory()
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
         kept = int(sockets * KEPT)
         self.engines = Engines(
@@ -185,6 +189,9 @@
             listen="%s:%d" % self.door.server.address[:2],
             pid=os.getpid(),
             engines=len(self.phases),
+            sockets=self.sockets,
+            memory_limit=self.memory_limit,
+            memory=self.memory.resident(),
         )
 
     def greenlets(self):
@@ -223,6 +230,7 @@
                 lambda: self.look_after(now),
                 self.engines.sweep,
                 lambda: self.door.sweep(now),
+                lambda: self._look_at_memory(now),
                 lambda: self.load.look(now, **self._gauges()),
             ):
                 try:
@@ -232,6 +240,19 @@
                     # nothing
                     self.log.error("look_failed", error="%s: %s" % (type(why).__name__, why))
 
+    def _look_at_memory(self, now):
+        resident = self.memory.resident()
+        if resident is not None:
+            self.load.memory(now, resident, self.memory_limit, **self._held_for_clients())
+
+    def _held_for_clients(self):
+        return {
+            "clients": len(self.door.conns),
+            "client_states": dict(collections.Counter(c.state.value for c in self.door.conns.values())),
+            "bytes_held": self.door.bytes_held,
+            "bytes_unsent": self.door.bytes_unsent,
+        }
+
     def reload(self):
         """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes
         nothing. As it may be half written just now, it is looked at again: for half a second before that is
@@ -326,9 +347,8 @@
             "states_held": held,
             "state_held_most": oldest,
             "open": len(self.reqs),
-            "clients": len(self.door.conns),
-            "bytes_held": self.door.bytes_held,
-            "bytes_unsent": self.door.bytes_unsent,
+            **self._held_for_clients(),
+            "memory": self.memory.resident(),
             "servers": len(self.phases),
             "kept_connections": self.engines.kept.count,
             "attempts_out": len(self.engines.out),
--- a/martenrouter/node/load.py
+++ b/martenrouter/node/load.py
@@ -10,6 +10,9 @@
 INTERVAL = 5_000_000  # microseconds between two `load` lines
 ROUND_SLOW = 20_000  # microseconds from which a round is logged by itself: a tenth of the shortest limits
 ROUND_SLOW_EACH = 1_000_000  # microseconds between two such lines
+MEMORY_HIGH = 0.9  # part of the limit from which memory is logged by itself
+MEMORY_HIGH_EACH = 1_000_000  # microseconds between two such lines
+TURNED_AWAY = "refused_", "connection_closed_", "connection_made_room"  # beginnings of counters' names
 
 
 @dataclasses.dataclass
@@ -26,15 +29,19 @@
     requests: int = 0
     first_attempt_after_most: int = 0
     state_waited_most: int = 0
+    memory_most: int = 0
 
 
 class Load:
-    """`log`: a structlog logger; `late_from`: lateness of the loop that is counted as a late turn."""
+    """`log`: a structlog logger; `late_from`: lateness of the loop that is counted as a late turn;
+    `counters`: the node's, of which each line tells those that rose and say what was turned away."""
 
-    def __init__(self, log, now, late_from):
+    def __init__(self, log, now, late_from, counters=()):
         self._log, self._late_from = log, late_from
         self._interval, self._begun, self._processor = Interval(), now, time.process_time()
         self._slow_logged = now - ROUND_SLOW_EACH
+        self._counters, self._counted = counters, {}
+        self._memory_high_logged = now - MEMORY_HIGH_EACH
 
     def woke(self, late):
         """The loop woke `late` microseconds after it was to."""
@@ -65,6 +72,20 @@
         """A read state got its decode attempt, or was released, after so long."""
         self._interval.state_waited_most = max(self._interval.state_waited_most, waited)
 
+    def memory(self, now, resident, limit, **about):
+        """So many bytes of memory are resident of so many that may be; `about` is told where that is near."""
+        self._interval.memory_most = max(self._interval.memory_most, resident)
+        if resident >= MEMORY_HIGH * limit and now >= self._memory_high_logged + MEMORY_HIGH_EACH:
+            self._memory_high_logged = now
+            self._log.warning("memory_high", resident=resident, limit=limit, **about)
+
+    def _turned_away(self):
+        """Counters of what was turned away since the last line, by their names."""
+        now = {name: count for name, count in dict(self._counters).items() if name.startswith(TURNED_AWAY)}
+        rose = {name: count - self._counted.get(name, 0) for name, count in now.items()}
+        self._counted = now
+        return {name: count for name, count in rose.items() if count}
+
     def look(self, now, **gauges):
         """Logs the interval when it is over; `gauges`: what holds just now."""
         if now < self._begun + INTERVAL:
@@ -76,5 +97,6 @@
             processor=int((processor - self._processor) * 1e6),
             **dataclasses.asdict(self._interval),
             **gauges,
+            turned_away=self._turned_away(),
         )
         self._interval, self._begun, self._processor = Interval(), now, processor
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from martenrouter.node.load import INTERVAL, ROUND_SLOW, ROUND_SLOW_EACH, Load
+from martenrouter.node.load import INTERVAL, MEMORY_HIGH_EACH, ROUND_SLOW, ROUND_SLOW_EACH, Load
 
 NOW = 50_000_000
 
@@ -39,6 +39,23 @@
         self.assertEqual(self.log.warning.call_count, 2)
         self.log.warning.assert_called_with("round_slow", took=ROUND_SLOW, servers=3200)
 
+    def test_memory_near_its_limit_is_logged_at_most_once_a_second(self):
+        for at in (0, 1, MEMORY_HIGH_EACH - 1, MEMORY_HIGH_EACH):
+            self.load.memory(NOW + at, 90, 100, clients=7)
+        self.load.memory(NOW + 3 * MEMORY_HIGH_EACH, 89, 100, clients=7)
+        self.assertEqual(self.log.warning.call_count, 2)
+        self.log.warning.assert_called_with("memory_high", resident=90, limit=100, clients=7)
+        self.load.look(NOW + INTERVAL)
+        self.assertEqual(self.log.info.call_args[1]["memory_most"], 90)
+
+    def test_what_was_turned_away_is_counted_by_interval(self):
+        counters = {"refused_431": 2, "reqs": 9}
+        load = Load(self.log, NOW, 50_000, counters)
+        for n, expected in enumerate(({"refused_431": 2}, {"refused_431": 1, "connection_made_room": 4}, {})):
+            load.look(NOW + (n + 1) * INTERVAL)
+            self.assertEqual(self.log.info.call_args[1]["turned_away"], expected)
+            counters.update({"refused_431": 3, "connection_made_room": 4})
+
 
 if __name__ == "__main__":
     unittest.main()
