--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -7,14 +7,13 @@
 Life of a req: unread -> reading -> read (its state waits at the reader) -> writing -> started -> ended.
 """
 
-from hashlib import blake2b
 from itertools import islice
 from math import exp, log2
 from statistics import median
 from zlib import crc32
 
 from martenrouter.policy.endpoint_list import EndpointList
-from martenrouter.policy.hashing import draw, point
+from martenrouter.policy.hashing import draw, number, point
 from martenrouter.policy.held_states import clock_after, is_unanswered
 from martenrouter.policy.lateness import Lateness
 from martenrouter.policy.reasons import GiveUp
@@ -674,7 +673,7 @@
         """From 0 to 1, of seed and count alone; independent of what fronts of other seeds draw."""
         self.draws += 1
         told = b"%d %d" % (self.seed, self.draws)
-        return int.from_bytes(blake2b(told, digest_size=4).digest(), "big") / 2**32
+        return number(told, 32) / 2**32
 
     @once_a_round
     def held_usually(self, cell):
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -1033,7 +1033,7 @@
             "import sys; import martenrouter.cli.node, martenrouter.cli.main, martenrouter.node.life, "
             "martenrouter.edge.log;"
             "print([m for m in sys.modules if m.split('.')[0] in ('lmdb', 'rjsonnet', 'wsproto', "
-            "'matplotlib', 'hdrh')"
+            "'matplotlib', 'hdrh', 'structlog', 'asyncio', 'ssl', 'hashlib')"
             " or m.startswith(('martenrouter.planner', 'martenrouter.state', "
             "'martenrouter.decisions.chain'))])"
         )
