Bounds follow from the memory that is left of the limit, and narrow as resident memory nears it

Cause: ON_THEIR_WAY, a sixth of the whole limit for messages on their way, whatever the process held at rest; the numbers of connections and requests and the system's buffers followed from descriptors alone or were constants. Each was right at 192 MB, where most of the limit is left, and wrong at 32, where less than nothing was.

Change: policy/memory.py takes the process at rest and a reserve off the limit and shares out the rest among connections, open requests and bytes on their way, each at its price (measured: 8 to 12 KB a connection, 26 to 29 KB with an open request); the system's buffers of a client follow from it as well. Prices are estimates, so resident memory is looked at each 50 ms: near the limit all bounds are narrowed, and widened step by step after. The allocator's thresholds are fixed: else it raises them as large buffers go, and keeps them.

--- a/martenrouter/cli/node.py
+++ b/martenrouter/cli/node.py
@@ -29,6 +29,7 @@
     from martenrouter.cli.life import settle_memory
     from martenrouter.edge.log import logger
     from martenrouter.node.life import Node
+    from martenrouter.node.process_memory import limit_allocator
     from martenrouter.settings.told import Unreadable
     from martenrouter.wire.platform import configuration
 
@@ -36,6 +37,7 @@
     if not path:
         raise click.ClickException("no configuration: name its file, or set EDGE_CONFIG to it")
     log = logger("person" if plain else "json", level)
+    limit_allocator()
     try:
         node = Node(path, log)
     except OSError as why:
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -245,7 +245,7 @@
         if not proxy.may_take(ask.id):
             self.server.counters["refused_409"] += 1
             return self.answer(409, "a request with this X-Request-ID is open, or may have run")
-        if len(proxy.reqs) >= self.server.most_reqs:
+        if len(proxy.reqs) >= self.server.most_reqs_now:
             # guards the descriptors that the list's watch and calls to let go need: each open request may
             # hold one at a server
             self.server.counters["refused_over_bound"] += 1
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -38,17 +38,16 @@
 
 
 class Door:
-    def __init__(
-        self, listen, most, most_reqs, bytes_limit, groups, come_back, transfers, hands, counters, log
-    ):
-        """`listen`: (host, port); `most`: connections that may be open; `most_reqs`: reqs; `bytes_limit`:
-        bodies of all open and unfinished reqs together; `groups`: names of endpoint groups; `come_back`:
-        headers of what is turned away over a bound; `transfers`: the policy's bounds on what is on its
-        way."""
-        self.most_reqs, self.come_back = most_reqs, come_back
-        self.bytes_limit, self.bytes_held = bytes_limit, 0  # of requests that are read or open
+    def __init__(self, listen, most, most_reqs, budget, groups, come_back, transfers, hands, counters, log):
+        """`listen`: (host, port); `most`: connections for which there are descriptors; `most_reqs`: reqs;
+        `budget`: policy.memory.MemoryBudget; `groups`: names of endpoint groups; `come_back`: headers of what
+        is turned away over a bound; `transfers`: the policy's bounds on what is on its way."""
+        self.budget, self.most, self.most_reqs = budget, budget.connections(most), budget.requests(most_reqs)
+        self.system_buffers = budget.system_buffers(self.most)
+        self.come_back = come_back
+        self.bytes_limit, self.bytes_held = budget.transfers, 0  # of requests that are read or open
         self.bytes_unsent = 0  # of answers, as last looked at
-        self.most, self.groups, self.hands, self.counters, self.log = most, groups, hands, counters, log
+        self.groups, self.hands, self.counters, self.log = groups, hands, counters, log
         self.conns, self.begun, self.listens = {}, False, False
         self.accept_logged = -ACCEPT_LOGGED_EACH  # when a failed accept was last logged
         self.empties = False  # whether some may still wait to be taken, of which none comes any more
@@ -56,8 +55,24 @@
         self.transfers = transfers
         self.turns = LoopTurns()
         self.fair_share = FairShare(self.turns, transfers.read_turn)
-        buffers = transfers.receive_buffer, transfers.send_buffer
-        self.server = Listener(listen, self._accepted, self._full, self.turns, self._accept_failed, buffers)
+        self.server = Listener(
+            listen, self._accepted, self._full, self.turns, self._accept_failed, self.system_buffers
+        )
+
+    @property
+    def most_now(self):
+        """Connections that may be open, as memory is just now."""
+        return self.budget.now(self.most, self.budget.connections_least)
+
+    @property
+    def most_reqs_now(self):
+        """Requests that may be open, as memory is just now."""
+        return self.budget.now(self.most_reqs, self.budget.requests_least)
+
+    @property
+    def bytes_limit_now(self):
+        """Bytes that may be held for messages on their way, as memory is just now."""
+        return self.budget.now(self.bytes_limit, self.budget.transfers_least)
 
     def start(self):
         """Raises OSError when the address can't be had."""
@@ -107,12 +122,12 @@
     def _full(self):
         """Whether not even a newcomer can be answered: what is in the system's queue waits until one has
         been."""
-        return len(self.conns) >= self.most + NEWCOMERS and not self._make_room(clock.now())
+        return len(self.conns) >= self.most_now + NEWCOMERS and not self._make_room(clock.now())
 
     def keep_within_memory(self):
         """Refuses requests that are not whole while more is held than may be; each alone is within its
         limit."""
-        while self.bytes_held > self.bytes_limit:
+        while self.bytes_held > self.bytes_limit_now:
             unfinished = (conn for conn in self.conns.values() if conn.state is State.READING)
             conn = self.transfers.refused_first(unfinished, clock.now())
             if conn is None:
@@ -125,14 +140,14 @@
         now, before = clock.now(), conn.unsent
         conn.look_at_unsent(now)
         self.bytes_unsent += conn.unsent - before
-        if self.bytes_unsent + self.bytes_held > self.bytes_limit:
+        if self.bytes_unsent + self.bytes_held > self.bytes_limit_now:
             self.close_unread_answers(now)
 
     def close_unread_answers(self, now):
         """Closes clients that leave their answers unread while these hold more memory than they may."""
         waiting = [conn for conn in self.conns.values() if conn.unsent]
         self.bytes_unsent = sum(conn.unsent for conn in waiting)
-        over = self.bytes_unsent + self.bytes_held - self.bytes_limit
+        over = self.bytes_unsent + self.bytes_held - self.bytes_limit_now
         while over > 0 and (conn := self.transfers.closed_first(waiting, now)):
             waiting.remove(conn)
             over -= conn.unsent
@@ -146,7 +161,7 @@
         except OSError:
             return  # reset before it was taken
         conn = ClientConnection(line, self, now, came)
-        if len(self.conns) >= self.most and not self._make_room(now):
+        if len(self.conns) >= self.most_now and not self._make_room(now):
             # its request is on its way: it is read and refused, as a close over it would leave it without an
             # answer
             self.counters["connection_over_bound"] += 1
@@ -251,7 +266,10 @@
                 self.counters["connection_failed"] += 1
                 self.log.error("connection_failed", error="%s: %s" % (type(why).__name__, why))
                 conn.close("a fault in looking at it")
+        self.keep_within_memory()
         self.close_unread_answers(now)
+        while len(self.conns) > self.most_now + NEWCOMERS and self._make_room(now):
+            pass  # memory is short: there may be fewer than there are
 
     def _look_at(self, conn, now):
         conn.look_at_unsent(now)
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -22,15 +22,13 @@
 from martenrouter.node.server_starts import ServerStarts
 from martenrouter.node.signals import ignore_from_now_on
 from martenrouter.node.watch import Watch
+from martenrouter.policy.memory import MemoryBudget
 from martenrouter.rules import Front
 from martenrouter.settings import told
 from martenrouter.wire.platform import configuration as codec
 from martenrouter.wire.platform import members
 
 MEGABYTE = 1_000_000  # bytes, as the settings count
-# bytes for each MB of memory: a sixth of it for requests that are read or open and for answers that their
-# clients have not taken; 3 MB of usual ones are on their way at once
-ON_THEIR_WAY = 1_000_000 // 6
 # Shares of the descriptors. Clients: the usual ones' reqs hold a third at most, the rest is for bad ones. A
 # third for reqs, each of which has one forward out. Kept connections to all engines together. What is left,
 # an eighth, is the reserve of the list's watch, calls to let go, the door and files: nothing that clients do
@@ -53,8 +51,10 @@
 
 
 class Node(Hands):
-    def __init__(self, path, log):
-        """Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and
+    def __init__(self, path, log, memory=None):
+        """`memory`: process_memory.ProcessMemory, this process's own if not given.
+
+        Raises wire.platform.configuration.Unreadable, settings.told.Unreadable or OSError: what, where and
         the mend."""
         self.path = path
         settings, known = self._first_read()
@@ -66,7 +66,7 @@
         self.desk = Desk(Front(_seed(settings), plain), self, log)
         sockets = settings.limits.sockets
         self.sockets, self.memory_limit = sockets, int(settings.limits.memory_mb * MEGABYTE)
-        self.memory = ProcessMemory()
+        self.memory = memory or ProcessMemory()
         idle = max(plain.get("idle_within", Connections.IDLE) - IDLE_MARGIN, IDLE_MARGIN)
         kept = int(sockets * KEPT)
         self.engines = Engines(
@@ -84,11 +84,13 @@
         self.engines.release_order = self.desk.front.release_order
         groups = {group.get("name") for group in plain["groups"]}
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
+        self.listed(known, "configuration")
+        self.desk.front.endpoint_list.taken_from_configuration(clock.now())
         self.door = Door(
             self.listen,
             int(sockets * CLIENTS),
             int(sockets * REQS),
-            int(settings.limits.memory_mb * ON_THEIR_WAY),
+            MemoryBudget(self.memory_limit, self.memory.resident(), len(known.members)),
             groups,
             [("retry-after", "%.3f" % (wait / 1e6))] if wait else [],
             self.desk.front.transfers,
@@ -105,8 +107,6 @@
             self._heard_of_list,
         )
         self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
-        self.listed(known, "configuration")
-        self.desk.front.endpoint_list.taken_from_configuration(clock.now())
 
     def _first_read(self):
         """As `_read`; the disk or the table of open files may fail for a moment, or the file may just be
@@ -192,6 +192,10 @@
             sockets=self.sockets,
             memory_limit=self.memory_limit,
             memory=self.memory.resident(),
+            most_clients=self.door.most,
+            most_requests=self.door.most_reqs,
+            bytes_limit=self.door.bytes_limit,
+            system_buffers=self.door.system_buffers,
         )
 
     def greenlets(self):
@@ -242,6 +246,9 @@
 
     def _look_at_memory(self, now):
         resident = self.memory.resident()
+        if self.door.budget.look(resident):
+            self.counters["memory_was_short"] += 1
+            self.memory.trim()
         if resident is not None:
             self.load.memory(now, resident, self.memory_limit, **self._held_for_clients())
 
@@ -251,6 +258,7 @@
             "client_states": dict(collections.Counter(c.state.value for c in self.door.conns.values())),
             "bytes_held": self.door.bytes_held,
             "bytes_unsent": self.door.bytes_unsent,
+            "bytes_limit": self.door.bytes_limit_now,
         }
 
     def reload(self):
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -13,9 +13,6 @@
     # length costs little
     read_part, read_pieces = 4 * 1024, 200
 
-    # bytes that the system may hold of one connection to a client, in each direction
-    receive_buffer, send_buffer = 256 * 1024, 64 * 1024
-
     # microseconds of a stream that has begun. The platform wants the client of a spoilt one let off within
     # 5 s, and that of one whose server is silent: half an event that stands still for so long is spoilt
     half_stands_still, silent_between_events = 3_000_000, 4_500_000
--- a/tests/sockets/node_rig.py
+++ b/tests/sockets/node_rig.py
@@ -217,6 +217,18 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+class FixedMemory:
+    """Of a node in this process, whose own memory says nothing of the node's."""
+
+    size = 30_000_000  # bytes
+
+    def resident(self):
+        return self.size
+
+    def trim(self):
+        """Nothing is given back."""
+
+
 class Rig:
     def __init__(self, *engines, sockets=256, agent=None, **settings):
         self.engines = {engine.id: engine for engine in engines}
@@ -227,7 +239,7 @@
         self.sockets, self.clients = sockets, []
         self.write(self.agent.address)
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
-        self.node = Node(self.path, structlog.get_logger())
+        self.node = Node(self.path, structlog.get_logger(), FixedMemory())
         self.node.start()
         self.address = self.node.door.server.address[:2]
         self.until(lambda: self.agent.asked)
--- a/tests/sockets/test_system_calls.py
+++ b/tests/sockets/test_system_calls.py
@@ -13,7 +13,7 @@
 from gevent import socket as gevent_socket
 
 from martenrouter.node.life import Node
-from tests.sockets.node_rig import SETTINGS, Engine, Rig
+from tests.sockets.node_rig import SETTINGS, Engine, FixedMemory, Rig
 
 
 def failing(call, errors):
@@ -213,5 +213,5 @@
             whole = file.read()
         rig.write(None, whole[: len(whole) * 6 // 10])
         gevent.spawn_later(0.5, rig.write, None, whole)
-        node = Node(rig.path, structlog.get_logger())
+        node = Node(rig.path, structlog.get_logger(), FixedMemory())
         self.assertEqual(node.name, "n0")
