What is half heard of servers' answers counts, and nothing large is copied to be sent

Cause: ClientConnection.size and unsent counted what clients had sent and had not taken; what servers had sent of an event that was not whole was in no sum, and the last bytes of each stream, up to 64 KB and their copies, lived on in Engines._listen while it waited for the next. A body was joined with its head for each attempt, and kept while its answer streamed, when no attempt is made any more.

Change: one sum (bytes_on_their_way) of requests, half heard answers and unread ones, kept as it changes; over its limit the policy names what ends first (Transfers.first_to_go). Whole requests leave a quarter of it to small ones (503 else). _listen is divided, so that what came is let go before the next wait. Bodies over 16 KB are sent behind their heads, and let go with the first event.

--- a/martenrouter/edge/send_buffer.py
+++ b/martenrouter/edge/send_buffer.py
@@ -55,7 +55,7 @@
         try:
             while self._rest:
                 self._line.wait_writable()
-                sent = self._line.send_some(bytes(self._rest[:PART]))
+                sent = self._send_part()
                 if sent:
                     del self._rest[:sent]
                     self.waits_since = clock.now()
@@ -66,6 +66,11 @@
             self._sender = None
             self._drained()
 
+    def _send_part(self):
+        """How many bytes went out without waiting. Raises OSError."""
+        with memoryview(self._rest) as rest, rest[:PART] as part:
+            return self._line.send_some(part)
+
     def stop(self):
         """Nothing more is sent, and nobody is told any more."""
         self._rest.clear()
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -64,6 +64,7 @@
             self.arrivals.seen(1, came)
         self.reader, self.head, self.body = None, None, bytearray()
         self.size = 0  # bytes that the request which is read or open holds, as they are held
+        self.open_size = 0  # the same once that request is whole
         self.unsent, self.unsent_since = 0, None  # bytes that wait for the client, and since when some do
         self.request, self.asked = None, 0  # the one that is served; how many have been whole
         self.since = accepted  # when it was accepted, or its last answer ended
@@ -220,13 +221,18 @@
         self.server.bytes_held += size - self.size
         self.size = size
 
+    def _hold_open(self, size):
+        """So much of it is held for a request that is whole."""
+        self.server.bytes_open += size - self.open_size
+        self.open_size = size
+        self._hold(size)
+
     def _price(self):
         """What the request that is being read holds."""
         return self.reader.held + len(self.body)
 
     def _on_end(self):
-        self._hold(self._price())
-        head, body = self.head, bytes(self.body)
+        price, head, body = self._price(), self.head, bytes(self.body)
         self.head, self.body = None, bytearray()
         self.asked += 1
         if self._is_probe(head):
@@ -236,6 +242,9 @@
             )
         if self.over_bound and not self.server.make_room_for_whole(self):
             return self.answer(503, "too many connections", self.server.come_back)
+        if not self.server.may_hold_whole(price):
+            self.server.counters["refused_for_memory"] += 1
+            return self.answer(503, "too many bytes are on their way", self.server.come_back)
         try:
             ask = asks.ask(head, body, self.server.groups, self.server.hands.customers)
         except asks.BadAsk as why:
@@ -255,6 +264,7 @@
             self.server.counters["refused_unseen"] += 1
             return self.answer(503, "too much was sent ahead of the answer", self.server.come_back)
         self.state = State.SERVING
+        self._hold_open(price)
         self.request = proxy.arrived(self, ask, self.begun)
 
     def sees_end(self):
@@ -292,12 +302,15 @@
 
     def begin_stream(self):
         self.streaming, self.keep = True, self._keeps()
+        self.request.ask.body = b""  # no attempt is made any more
+        self._hold_open(0)
         self.put(messages.stream_head(self.keep))
 
     def pass_on(self, data):
         self.put(http.chunk(data))
         if not self.buffer.empty:
-            self.server.left_unread(self)
+            self.look_at_unsent(clock.now())
+            self.server.keep_within_memory()
 
     def end_stream(self):
         self.put(http.chunk(b""))
@@ -315,7 +328,7 @@
         if self.state is State.CLOSED:
             return
         self.request, self.streaming, self.since = None, False, clock.now()
-        self._hold(0)
+        self._hold_open(0)
         if keep:
             self.state = State.IDLE
             self.changed.set()
@@ -326,12 +339,17 @@
 
     def look_at_unsent(self, now):
         """Notes what this process and the system hold of answers that the client has not taken."""
-        self.unsent = len(self.buffer) + self.line.unsent()
+        self._leave(len(self.buffer) + self.line.unsent())
         if not self.unsent:
             self.unsent_since = None
         elif self.unsent_since is None:
             self.unsent_since = now
 
+    def _leave(self, unsent):
+        """So much of its answers waits for the client."""
+        self.server.bytes_unsent += unsent - self.unsent
+        self.unsent = unsent
+
     def put(self, data):
         if self.state is not State.CLOSED:
             self.buffer.put(data)
@@ -340,7 +358,8 @@
         """It is over: parts that hold each other let go, as the collector of cycles seldom looks."""
         self.state = State.CLOSED
         self.buffer.stop()
-        self._hold(0)
+        self._hold_open(0)
+        self._leave(0)
         if self.reader is not None:
             self.reader.close()
         self.line.close()
@@ -383,5 +402,6 @@
             self.state = State.CLOSED
             self.server.forget(self)
             self.buffer.stop()
+            self._leave(0)
             self.changed.set()
             self.line.shut(socket.SHUT_RDWR)
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -46,7 +46,8 @@
         self.system_buffers = budget.system_buffers(self.most)
         self.come_back = come_back
         self.bytes_limit, self.bytes_held = budget.transfers, 0  # of requests that are read or open
-        self.bytes_unsent = 0  # of answers, as last looked at
+        self.bytes_open = 0  # of those, what requests hold that are whole
+        self.bytes_heard, self.bytes_unsent = 0, 0  # of answers: half heard of servers; left by clients
         self.groups, self.hands, self.counters, self.log = groups, hands, counters, log
         self.conns, self.begun, self.listens = {}, False, False
         self.accept_logged = -ACCEPT_LOGGED_EACH  # when a failed accept was last logged
@@ -124,35 +125,37 @@
         been."""
         return len(self.conns) >= self.most_now + NEWCOMERS and not self._make_room(clock.now())
 
+    @property
+    def bytes_on_their_way(self):
+        """Of requests, of answers that are half heard of servers, and of answers that clients leave."""
+        return self.bytes_held + self.bytes_heard + self.bytes_unsent
+
     def keep_within_memory(self):
-        """Refuses requests that are not whole while more is held than may be; each alone is within its
-        limit."""
-        while self.bytes_held > self.bytes_limit_now:
+        """Ends what the policy names while more is held than may be; each alone is within its limit."""
+        while self.bytes_on_their_way > self.bytes_limit_now:
+            now = clock.now()
             unfinished = (conn for conn in self.conns.values() if conn.state is State.READING)
-            conn = self.transfers.refused_first(unfinished, clock.now())
-            if conn is None:
+            waiting = (conn for conn in self.conns.values() if conn.unsent)
+            attempts = (attempt for attempt in self.hands.engines.out.values() if attempt.buffered)
+            holder = self.transfers.first_to_go(unfinished, waiting, attempts, now)
+            if holder is None:
                 return
-            self.counters["refused_for_memory"] += 1
-            conn.refuse(503, "too many bytes are on their way", self.come_back)
+            self._end_for_memory(holder)
 
-    def left_unread(self, conn):
-        """A part of an answer that was just put waits for its client."""
-        now, before = clock.now(), conn.unsent
-        conn.look_at_unsent(now)
-        self.bytes_unsent += conn.unsent - before
-        if self.bytes_unsent + self.bytes_held > self.bytes_limit_now:
-            self.close_unread_answers(now)
-
-    def close_unread_answers(self, now):
-        """Closes clients that leave their answers unread while these hold more memory than they may."""
-        waiting = [conn for conn in self.conns.values() if conn.unsent]
-        self.bytes_unsent = sum(conn.unsent for conn in waiting)
-        over = self.bytes_unsent + self.bytes_held - self.bytes_limit_now
-        while over > 0 and (conn := self.transfers.closed_first(waiting, now)):
-            waiting.remove(conn)
-            over -= conn.unsent
+    def _end_for_memory(self, holder):
+        if not isinstance(holder, ClientConnection):
+            self.counters["answer_ended_for_memory"] += 1
+            self.hands.end_for_memory(holder)
+        elif holder.state is State.READING:
+            self.counters["refused_for_memory"] += 1
+            holder.refuse(503, "too many bytes are on their way", self.come_back)
+        else:
             self.counters["connection_closed_for_memory"] += 1
-            conn.close("its answer is left unread, and memory is short")
+            holder.close("its answer is left unread, and memory is short")
+
+    def may_hold_whole(self, size):
+        """Whether a request that is whole and holds so much may be served."""
+        return self.transfers.may_hold_whole(size, self.bytes_open, self.bytes_limit_now)
 
     def _accepted(self, sock, came):
         now = clock.now()
@@ -267,7 +270,6 @@
                 self.log.error("connection_failed", error="%s: %s" % (type(why).__name__, why))
                 conn.close("a fault in looking at it")
         self.keep_within_memory()
-        self.close_unread_answers(now)
         while len(self.conns) > self.most_now + NEWCOMERS and self._make_room(now):
             pass  # memory is short: there may be fewer than there are
 
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -29,6 +29,19 @@
     """A read's answer has begun and was not whole in time."""
 
 
+class PartialAnswer:
+    """What has come of a server's answer. `body`: bytes that are no whole chunk yet; `whole_by`: of a read's
+    answer that has begun, when it has to be whole."""
+
+    def __init__(self, reader):
+        self.reader, self.head, self.body, self.events, self.whole_by = reader, None, bytearray(), None, None
+
+    @property
+    def size(self):
+        """Bytes that are held of it."""
+        return len(self.body) + (self.events.held if self.events is not None else 0)
+
+
 class Forward:
     """`n`: its number within the req; `at`: when it was decided; `writing_since`: when its first byte was
     written, `written`: when its last one was; `began`: when its first event came; `heard`: when whole events
@@ -43,6 +56,7 @@
         self.connection = None  # once there is one
         self.why = self.idled = None  # idled: microseconds its connection had been unused, None for a new one
         self.half = False  # part of an event or of a chunk has come
+        self.buffered = 0  # bytes of its answer that are held, as no whole event yet
         self.place = None  # (zone, cell) of its engine when it began; see guard.py
         self.arrived = None  # whether its last byte has reached the engine's machine; None: not looked yet
         # whether the engine's process has it, None where nobody knows; when it was probed, and the probe that
@@ -160,71 +174,102 @@
                 raise Broke("not sent", "unwritten: its request is over")
 
         try:
-            data = answers.request(f.req.ask, host, f.until - told_at)
-            connection.sendall(data, check, check_within=TOLD_WITHIN / 1e6)
+            for part in answers.request_parts(f.req.ask, host, f.until - told_at):
+                connection.sendall(part, check, check_within=TOLD_WITHIN / 1e6)
         except OSError as why:
             raise Broke("unreachable", "unwritten: %s" % why) from why
         f.written = clock.now()
 
     def _listen(self, f, connection, reader, hear, patience):
-        head, body, events = None, bytearray(), None
-        whole_by = None  # of a read's answer that has begun
-        while True:
-            try:
-                data = self._receive(connection, whole_by)
-            except AnswerStalls as why:
-                if head is not None and head.status == answers.READ:
-                    return "read", 0, False  # the state waits there, whatever else was to be told
-                raise Broke("reset", "half an answer") from why
-            except OSError as why:
-                self._kept_one(f, head is None)
-                raise Broke("reset", "broken: %s" % why) from why
-            if not data:
-                self._kept_one(f, head is None)
-                raise Broke("reset", "closed in mid-answer" if head else "closed without an answer")
-            if head is None and connection.unsent():
-                raise Broke(
-                    "unreachable", "unwritten: bytes came before it was whole"
-                )  # it closes, and so never becomes whole
-            f.moved = clock.now()
-            if f.reads and whole_by is None:
-                whole_by = f.moved + hear.desk.front.transfers.read_answer_within
-            whole, came = [], reader.feed(data)
-            for at, event in enumerate(came, 1):
-                if event[0] == "head":
-                    head = event[1]
-                    self._kept_one(f, False)
-                    f.load = answers.load(head.headers.get(answers.LOAD))
-                    events = Events() if head.status == 200 else None
-                elif event[0] == "body":
-                    body += event[1]
-                elif event[0] == "bad":
-                    self._pass_on(f, whole, hear, patience)
-                    raise Broke("reset", "unreadable: %s" % event[1])
-                elif events is not None and body:
-                    try:
-                        whole.append(events.feed(bytes(body)))
-                    except BadEvents as why:
-                        self._pass_on(f, whole, hear, patience)
-                        raise Broke("reset", "spoilt: %s" % why) from why
-                    body.clear()
-                if event[0] == "end":
+        answer = PartialAnswer(reader)
+        try:
+            while (outcome := self._hear_more(f, connection, answer, hear, patience)) is None:
+                if answer.size != f.buffered:
+                    hear.buffers(f, answer.size)
+                if f.ended:
+                    raise Stopped  # by what was held for it, in this very greenlet
+            return outcome
+        finally:
+            hear.buffers(f, 0)
+
+    def _hear_more(self, f, connection, answer, hear, patience):
+        """Takes in what comes next: (ending, note, whether the connection can be used again) once the answer
+        is whole. Raises Broke. What came is not kept while the next is waited for."""
+        data = self._next_of(f, connection, answer)
+        if data is None:
+            return "read", 0, False  # the state waits there, whatever else was to be told
+        if answer.head is None and connection.unsent():
+            raise Broke(
+                "unreachable", "unwritten: bytes came before it was whole"
+            )  # it closes, and so never becomes whole
+        f.moved = clock.now()
+        if f.reads and answer.whole_by is None:
+            answer.whole_by = f.moved + hear.desk.front.transfers.read_answer_within
+        whole, came = [], answer.reader.feed(data)
+        for at, event in enumerate(came, 1):
+            if event[0] == "head":
+                self._on_head(f, answer, event[1])
+            elif event[0] == "body":
+                answer.body += event[1]
+            elif event[0] == "bad":
+                self._pass_on(f, whole, hear, patience)
+                raise Broke("reset", "unreadable: %s" % event[1])
+            elif answer.events is not None and answer.body:
+                try:
+                    whole.append(answer.events.feed(bytes(answer.body)))
+                except BadEvents as why:
                     self._pass_on(f, whole, hear, patience)
-                    # what follows an answer was not asked for: the answer stands, the connection is done with
-                    clean = head.keep and at == len(came) and not reader.inside and connection.quiet()
-                    if events is None:
-                        return (*answers.ending(head, bytes(body)), clean)
-                    if not events.done:
-                        raise Broke("reset", "ended without its last event")
-                    f.load = events.load or f.load
-                    return "done", events.found, clean
-            self._pass_on(f, whole, hear, patience)
-            if len(body) > messages.BODY_LIMIT:
-                raise Broke("reset", "spoilt: more than %d bytes in one piece" % messages.BODY_LIMIT)
-            if events is not None:
-                f.half = reader.half or events.inside
-                if body:
-                    self._check_half(events, body)
+                    raise Broke("reset", "spoilt: %s" % why) from why
+                answer.body.clear()
+            if event[0] == "end":
+                self._pass_on(f, whole, hear, patience)
+                # what follows an answer was not asked for: the answer stands, the connection is done with
+                is_last = at == len(came) and not answer.reader.inside
+                return self._whole(f, answer, answer.head.keep and is_last and connection.quiet())
+        self._pass_on(f, whole, hear, patience)
+        self._check_rest(f, answer)
+        return None
+
+    def _next_of(self, f, connection, answer):
+        """Bytes of the answer; None where a read has ended and the rest does not come. Raises Broke."""
+        try:
+            data = self._receive(connection, answer.whole_by)
+        except AnswerStalls as why:
+            if answer.head is not None and answer.head.status == answers.READ:
+                return None
+            raise Broke("reset", "half an answer") from why
+        except OSError as why:
+            self._kept_one(f, answer.head is None)
+            raise Broke("reset", "broken: %s" % why) from why
+        if not data:
+            self._kept_one(f, answer.head is None)
+            raise Broke("reset", "closed in mid-answer" if answer.head else "closed without an answer")
+        return data
+
+    def _on_head(self, f, answer, head):
+        answer.head = head
+        self._kept_one(f, False)
+        f.load = answers.load(head.headers.get(answers.LOAD))
+        answer.events = Events() if head.status == 200 else None
+
+    @staticmethod
+    def _whole(f, answer, clean):
+        """What a whole answer is the end of. Raises Broke."""
+        if answer.events is None:
+            return (*answers.ending(answer.head, bytes(answer.body)), clean)
+        if not answer.events.done:
+            raise Broke("reset", "ended without its last event")
+        f.load = answer.events.load or f.load
+        return "done", answer.events.found, clean
+
+    def _check_rest(self, f, answer):
+        """Looks at what is no whole event yet. Raises Broke."""
+        if len(answer.body) > messages.BODY_LIMIT:
+            raise Broke("reset", "spoilt: more than %d bytes in one piece" % messages.BODY_LIMIT)
+        if answer.events is not None:
+            f.half = answer.reader.half or answer.events.inside
+            if answer.body:
+                self._check_half(answer.events, answer.body)
 
     @staticmethod
     def _receive(connection, whole_by):
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -13,6 +13,7 @@
 from martenrouter.node.guard import Guard, Reason
 from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
+from martenrouter.policy.reasons import GiveUp
 
 LOOKS = 50_000  # microseconds between looks at what no event tells (node/life.py)
 LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
@@ -349,8 +350,26 @@
             self._end(f, "cancelled", 0)
         return len(due)
 
+    def buffers(self, f, size):
+        """So many bytes of the attempt's answer are held, as no whole event yet."""
+        self.door.bytes_heard += size - f.buffered
+        f.buffered = size
+        if size:
+            self.door.keep_within_memory()
+
     # ---- ends of reqs ----
 
+    def end_for_memory(self, f):
+        """The attempt's answer can't be held: its request ends with it, as no other attempt would find more
+        room."""
+        self.engines.stop(f)
+        if f.req.over is None and f.req.streams is None:
+            f.req.why = GiveUp.MEMORY_SHORT
+            self._finish(f.req, "aborted", 502, "aborted: no memory for its answer; it may have run")
+            self.desk.post("gone", f.req.id)
+        if not f.ended:
+            self._end(f, "cancelled", 0)
+
     def failed(self, r):
         """A fault of this process at the request's connection: it gets its final answer all the same."""
         if r.over is None:
--- a/martenrouter/policy/reasons.py
+++ b/martenrouter/policy/reasons.py
@@ -16,4 +16,5 @@
     STATE_LIMIT = "state_held_to_its_limit"
     CLIENT_UNSEEN = "client_may_have_left"
     LIST_UNCONFIRMED = "discovery_not_heard"
+    MEMORY_SHORT = "memory_short"
     OTHER = "decided_elsewhere"
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -13,6 +13,9 @@
     # length costs little
     read_part, read_pieces = 4 * 1024, 200
 
+    small = 8 * 1024  # bytes of a message that is never the first to go
+    large_part = 3 / 4  # of what may be on its way: for requests that are larger
+
     # microseconds of a stream that has begun. The platform wants the client of a spoilt one let off within
     # 5 s, and that of one whose server is silent: half an event that stands still for so long is spoilt
     half_stands_still, silent_between_events = 3_000_000, 4_500_000
@@ -40,6 +43,23 @@
         longest, as a usual one never does; None where there is none."""
         return max(unfinished, key=lambda one: one.size * (now - one.reading_since + 1), default=None)
 
+    def first_to_go(self, unfinished, waiting, attempts, now):
+        """What ends where more is on its way than may be; None where nothing may. A request that is not whole
+        loses least, as its client may send it again; but a small one is on its way like any, so that answers
+        that clients leave, and those that are half heard, go before it. Each of `attempts` has `buffered`."""
+        request = self.refused_first(unfinished, now)
+        if request is not None and request.size > self.small:
+            return request
+        heard = max(attempts, key=lambda one: one.buffered, default=None)
+        if heard is not None and heard.buffered <= self.small:
+            heard = None
+        return self.closed_first(waiting, now) or heard or request
+
+    def may_hold_whole(self, size, held, limit):
+        """Whether a whole request of so many bytes may be served where those that are open hold `held` of
+        `limit`: large ones leave room for small ones."""
+        return held + size <= (limit if size <= self.small else limit * self.large_part)
+
     @staticmethod
     def displaced_first(unfinished):
         """Of requests that are not whole, each with `reading_since`, the one that gives its place to a whole
--- a/martenrouter/wire/http.py
+++ b/martenrouter/wire/http.py
@@ -143,11 +143,16 @@
 }
 
 
+def request_head(method, path, host, headers, length):
+    """The head of a request with a body of `length` bytes. `headers`: pairs."""
+    lines = ["%s %s HTTP/1.1" % (method, path), "host: %s" % host, "content-length: %d" % length]
+    lines += ["%s: %s" % pair for pair in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
 def request(method, path, host, headers, body=b""):
     """One request as bytes. `headers`: pairs; the body's length is told."""
-    lines = ["%s %s HTTP/1.1" % (method, path), "host: %s" % host, "content-length: %d" % len(body)]
-    lines += ["%s: %s" % pair for pair in headers]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    return request_head(method, path, host, headers, len(body)) + body
 
 
 def response(status, headers, body=b"", chunked=False):
--- a/martenrouter/wire/platform/answers.py
+++ b/martenrouter/wire/platform/answers.py
@@ -38,16 +38,19 @@
 _read = msgspec.json.Decoder(_Read)
 
 
-def request(ask, host, patience):
-    """The req as an engine gets it, as bytes; `patience`: microseconds that the node will wait."""
+JOINED = 16 * 1024  # bytes of a body that go out in one piece with the head; a larger one is not copied
+
+
+def request_parts(ask, host, patience):
+    """The req as an engine gets it, as pieces of bytes; `patience`: microseconds that the node will wait."""
     typed = (
         ()
         if any(name == "content-type" for name, _ in ask.headers)
         else (("content-type", "application/json"),)
     )
-    return http.request(
-        "POST", ask.target, host, (*ask.headers, *typed, ("x-timeout-ms", max(patience // 1000, 1))), ask.body
-    )
+    headers = (*ask.headers, *typed, ("x-timeout-ms", max(patience // 1000, 1)))
+    head = http.request_head("POST", ask.target, host, headers, len(ask.body))
+    return (head + ask.body,) if len(ask.body) <= JOINED else (head, ask.body)
 
 
 def let_go(id, host):
--- a/martenrouter/wire/platform/events.py
+++ b/martenrouter/wire/platform/events.py
@@ -47,6 +47,11 @@
         """Whether part of an event has come."""
         return bool(self._part)
 
+    @property
+    def held(self):
+        """Bytes of an event that is not whole."""
+        return len(self._part)
+
     def feed(self, data):
         """`data`: whole chunks of the body. Returns whole events as one piece of bytes; raises BadEvents."""
         self._checked = 0
