A slow client's answer waits at its server when memory is short, in place of being cut

A stream that is cut while its events come is lost.

Cause: answers were read as fast as servers wrote them, whatever their clients took; over the limit the client that left most was closed. And 64 KB were asked for before anything came, so that all streams that waited took as much in one turn.

Change: up to three quarters of what may be on its way answers are read ahead; beyond, each stream has an even share of the rest, and what its client has not taken waits at its server, which does not count as silent. How much is read is decided when there is something to read. A client that takes nothing at all is given up after 5 s, as before, or after 1 s where places are short (nothing else frees them now); its stream ends in the log with the reason, so that the guard no longer calls a decision of the policy a violation. When it last took something counts, not when it began to wait. Sums hold what this process holds; the system's buffers have bounds of their own.

--- a/martenrouter/edge/line.py
+++ b/martenrouter/edge/line.py
@@ -120,10 +120,14 @@
 
     def recv(self, most):
         """Bytes, b"" at the end. Raises OSError."""
+        return self.recv_some(lambda: most)
+
+    def recv_some(self, most):
+        """As `recv`; `most()` is asked once there is something to read. Raises OSError."""
         while True:
             self.wait_readable()
             try:
-                return self._sock.recv(most)
+                return self._sock.recv(most())
             except BlockingIOError:
                 continue
             except OSError as why:
--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -65,7 +65,8 @@
         self.reader, self.head, self.body = None, None, bytearray()
         self.size = 0  # bytes that the request which is read or open holds, as they are held
         self.open_size = 0  # the same once that request is whole
-        self.unsent, self.unsent_since = 0, None  # bytes that wait for the client, and since when some do
+        # bytes that wait for the client, and when it last took some, or they began to; those that wait here
+        self.unsent, self.unsent_since, self.left = 0, None, 0
         self.request, self.asked = None, 0  # the one that is served; how many have been whole
         self.since = accepted  # when it was accepted, or its last answer ended
         self.reading_since = None  # when the first bytes of the request that is being read were
@@ -338,17 +339,19 @@
     # ---- sending and closing ----
 
     def look_at_unsent(self, now):
-        """Notes what this process and the system hold of answers that the client has not taken."""
-        self._leave(len(self.buffer) + self.line.unsent())
+        """Notes what of its answers the client has not taken: `unsent` with what the system holds, which has
+        bounds of its own, and in the server's sum what this process does."""
+        before, self.unsent = self.unsent, len(self.buffer) + self.line.unsent()
+        self._leave(len(self.buffer))
         if not self.unsent:
             self.unsent_since = None
-        elif self.unsent_since is None:
+        elif self.unsent_since is None or self.unsent < before:
             self.unsent_since = now
 
-    def _leave(self, unsent):
-        """So much of its answers waits for the client."""
-        self.server.bytes_unsent += unsent - self.unsent
-        self.unsent = unsent
+    def _leave(self, size):
+        """So much of its answers waits here for the client."""
+        self.server.bytes_unsent += size - self.left
+        self.left = size
 
     def put(self, data):
         if self.state is not State.CLOSED:
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -20,8 +20,6 @@
 # between requests: the platform allows a close after 2 s; some clients ask once and stay for good
 IDLE_WITHIN = 3_000_000
 LINGER = 600_000  # after the last answer: the client reads it before a close can reset it away
-# a client that takes nothing for so long reads nothing; a stream's end has to reach it in seconds
-UNSENT_WITHIN = 5_000_000
 NEWCOMERS = 16  # connections over the bound that are read and answered: a part of the reserve of descriptors
 NEWCOMER = (
     300_000  # a connection's first request is on its way for so long; older silent ones are closed first
@@ -130,6 +128,13 @@
         """Of requests, of answers that are half heard of servers, and of answers that clients leave."""
         return self.bytes_held + self.bytes_heard + self.bytes_unsent
 
+    def read_ahead(self):
+        """Bytes of one answer that may be read ahead of its client just now; None: as they come."""
+        limit = self.bytes_limit_now
+        if self.transfers.reads_ahead(self.bytes_on_their_way, limit):
+            return None
+        return self.transfers.read_share(limit, self.most_reqs)
+
     def keep_within_memory(self):
         """Ends what the policy names while more is held than may be; each alone is within its limit."""
         while self.bytes_on_their_way > self.bytes_limit_now:
@@ -151,7 +156,7 @@
             holder.refuse(503, "too many bytes are on their way", self.come_back)
         else:
             self.counters["connection_closed_for_memory"] += 1
-            holder.close("its answer is left unread, and memory is short")
+            self._close_unread(holder, "its answer is left unread, and memory is short")
 
     def may_hold_whole(self, size):
         """Whether a request that is whole and holds so much may be served."""
@@ -261,23 +266,42 @@
     def sweep(self, now):
         if self.listens:
             self.server.resume()  # connections may have come to rest, none of which has ended
+        short = self._places_short()
         for conn in list(self.conns.values()):
             try:
-                self._look_at(conn, now)
+                self._look_at(conn, now, short)
             except Exception as why:
                 # the others are looked at all the same
                 self.counters["connection_failed"] += 1
                 self.log.error("connection_failed", error="%s: %s" % (type(why).__name__, why))
                 conn.close("a fault in looking at it")
         self.keep_within_memory()
-        while len(self.conns) > self.most_now + NEWCOMERS and self._make_room(now):
-            pass  # memory is short: there may be fewer than there are
+        if self.budget.part < 1:
+            self._make_fewer(now)
+
+    def _make_fewer(self, now):
+        """Memory is short: there may be fewer connections than there are."""
+        for _ in range(len(self.conns) - self.most_now - NEWCOMERS):
+            if not self._make_room(now):
+                return
+
+    def _places_short(self):
+        """Whether others want for the places of clients that take nothing of their answers."""
+        most_requests = self.most_reqs_now * self.transfers.places_short_part
+        return len(self.hands.reqs) >= most_requests or len(self.conns) >= self.most_now
+
+    def _close_unread(self, conn, why):
+        """Its client leaves its answer: a stream that still runs is given up, and ends in the log too."""
+        if conn.streaming:
+            self.hands.given_up_unread(conn.request)
+        conn.close(why)
 
-    def _look_at(self, conn, now):
+    def _look_at(self, conn, now, short):
         conn.look_at_unsent(now)
-        if conn.buffer.waits_since is not None and now - conn.buffer.waits_since > UNSENT_WITHIN:
+        waits_since = conn.buffer.waits_since
+        if waits_since is not None and self.transfers.takes_nothing(waits_since, now, short):
             self.counters["connection_closed_unread"] += 1
-            conn.close("its client takes nothing")
+            self._close_unread(conn, "its client takes nothing")
         elif conn.closing_since is not None and now - conn.closing_since > LINGER:
             conn.close("after its last answer")
         elif conn.state is State.SERVING and conn.arrivals.pending or conn.state is State.CLOSING:
--- a/martenrouter/node/engines.py
+++ b/martenrouter/node/engines.py
@@ -10,7 +10,7 @@
 
 from martenrouter.edge import clock
 from martenrouter.edge.lines import Broke, Stopped
-from martenrouter.node.release_calls import CHUNK, ReleaseCalls
+from martenrouter.node.release_calls import ReleaseCalls
 from martenrouter.wire.platform import answers, messages
 from martenrouter.wire.platform.events import BadEvents, Events
 
@@ -23,6 +23,7 @@
 CONNECTS_AT_LEAST = 20_000  # microseconds: what usual connections need
 # microseconds: the answer of a machine that knows nothing of a connection comes within a round trip
 AT_ONCE = 10_000
+CLIENT_PAUSE = 0.02  # seconds between looks whether a client has taken what it had left
 
 
 class AnswerStalls(Exception):
@@ -184,6 +185,7 @@
         answer = PartialAnswer(reader)
         try:
             while (outcome := self._hear_more(f, connection, answer, hear, patience)) is None:
+                self._wait_for_client(f, hear)
                 if answer.size != f.buffered:
                     hear.buffers(f, answer.size)
                 if f.ended:
@@ -192,10 +194,18 @@
         finally:
             hear.buffers(f, 0)
 
+    @staticmethod
+    def _wait_for_client(f, hear):
+        """While its client leaves what came before and memory is short, the rest waits at its server, which
+        is not silent then."""
+        while f.began and not hear.may_read_on(f):
+            gevent.sleep(CLIENT_PAUSE)
+            f.heard = f.moved = clock.now()
+
     def _hear_more(self, f, connection, answer, hear, patience):
         """Takes in what comes next: (ending, note, whether the connection can be used again) once the answer
         is whole. Raises Broke. What came is not kept while the next is waited for."""
-        data = self._next_of(f, connection, answer)
+        data = self._next_of(f, connection, answer, hear.read_at_once)
         if data is None:
             return "read", 0, False  # the state waits there, whatever else was to be told
         if answer.head is None and connection.unsent():
@@ -230,10 +240,11 @@
         self._check_rest(f, answer)
         return None
 
-    def _next_of(self, f, connection, answer):
-        """Bytes of the answer; None where a read has ended and the rest does not come. Raises Broke."""
+    def _next_of(self, f, connection, answer, most):
+        """Up to `most()` bytes of the answer; None where a read has ended and the rest does not come. Raises
+        Broke."""
         try:
-            data = self._receive(connection, answer.whole_by)
+            data = self._receive(connection, answer.whole_by, most)
         except AnswerStalls as why:
             if answer.head is not None and answer.head.status == answers.READ:
                 return None
@@ -272,12 +283,13 @@
                 self._check_half(answer.events, answer.body)
 
     @staticmethod
-    def _receive(connection, whole_by):
-        """Bytes, b"" at the end. Raises OSError, and AnswerStalls once it is `whole_by`, if that is set."""
+    def _receive(connection, whole_by, most):
+        """Up to `most()` bytes, b"" at the end. Raises OSError, and AnswerStalls once it is `whole_by`,
+        if that is set."""
         if whole_by is None:
-            return connection.recv(CHUNK)
+            return connection.recv_some(most)
         with gevent.Timeout(max(whole_by - clock.now(), 1) / 1e6, AnswerStalls):
-            return connection.recv(CHUNK)
+            return connection.recv_some(most)
 
     @staticmethod
     def _check_half(events, part):
--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -357,8 +357,26 @@
         if size:
             self.door.keep_within_memory()
 
+    def may_read_on(self, f):
+        """Whether more of the attempt's answer may be read, as its client takes it."""
+        if f.ended:
+            return True
+        f.req.conn.look_at_unsent(clock.now())
+        most = self.door.read_ahead()
+        return most is None or len(f.req.conn.buffer) <= most
+
+    def read_at_once(self):
+        """Bytes of an answer that are read in one go."""
+        return self.door.read_ahead() or self.door.transfers.read_at_once
+
     # ---- ends of reqs ----
 
+    def given_up_unread(self, r):
+        """The client takes nothing of its running stream, for which there is no room any more."""
+        r.why = GiveUp.CLIENT_TAKES_NOTHING
+        self.engines.stop(r.streams)
+        self._end(r.streams, "cancelled", 0)
+
     def end_for_memory(self, f):
         """The attempt's answer can't be held: its request ends with it, as no other attempt would find more
         room."""
--- a/martenrouter/policy/reasons.py
+++ b/martenrouter/policy/reasons.py
@@ -16,5 +16,6 @@
     STATE_LIMIT = "state_held_to_its_limit"
     CLIENT_UNSEEN = "client_may_have_left"
     LIST_UNCONFIRMED = "discovery_not_heard"
+    CLIENT_TAKES_NOTHING = "client_takes_nothing"
     MEMORY_SHORT = "memory_short"
     OTHER = "decided_elsewhere"
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -15,6 +15,14 @@
 
     small = 8 * 1024  # bytes of a message that is never the first to go
     large_part = 3 / 4  # of what may be on its way: for requests that are larger
+    # of what may be on its way: up to it answers are read ahead of clients that take them slowly; the rest is
+    # shared out evenly among all that may be open
+    reads_ahead_part = 3 / 4
+    read_at_once, read_at_once_least = 64 * 1024, 2 * 1024  # bytes of an answer
+
+    # microseconds for which a client may take nothing of its answer; where places are short
+    takes_nothing_within, takes_nothing_within_short = 5_000_000, 1_000_000
+    places_short_part = 3 / 4  # of the open requests that there may be
 
     # microseconds of a stream that has begun. The platform wants the client of a spoilt one let off within
     # 5 s, and that of one whose server is silent: half an event that stands still for so long is spoilt
@@ -60,6 +68,22 @@
         `limit`: large ones leave room for small ones."""
         return held + size <= (limit if size <= self.small else limit * self.large_part)
 
+    def takes_nothing(self, waits_since, now, short):
+        """Whether a client is given up that has taken nothing since then; `short`: whether others want for
+        its place."""
+        within = self.takes_nothing_within_short if short else self.takes_nothing_within
+        return now - waits_since > within
+
+    def reads_ahead(self, on_their_way, limit):
+        """Whether answers are read as fast as they come, however slowly their clients take them."""
+        return on_their_way <= limit * self.reads_ahead_part
+
+    def read_share(self, limit, streams):
+        """Bytes of one answer of so many that are read ahead of its client where more is not: what its client
+        has not taken waits at its server then, as a stream that is cut is lost."""
+        share = int(limit * (1 - self.reads_ahead_part) / (2 * streams))  # a piece is read beyond it
+        return min(max(share, self.read_at_once_least), self.read_at_once)
+
     @staticmethod
     def displaced_first(unfinished):
         """Of requests that are not whole, each with `reading_since`, the one that gives its place to a whole
@@ -68,7 +92,7 @@
 
     @staticmethod
     def closed_first(waiting, now):
-        """Of clients whose answers wait for them, each with `unsent` and `unsent_since`, the one that leaves
-        most for longest; None where all have just begun to."""
+        """Of clients whose answers wait for them, each with `unsent` and `unsent_since`, when it last took
+        something of it, the one that leaves most for longest; None where all have just begun to."""
         slow = (one for one in waiting if now > one.unsent_since)
         return max(slow, key=lambda one: one.unsent * (now - one.unsent_since), default=None)
--- a/tests/sockets/bad_clients.py
+++ b/tests/sockets/bad_clients.py
@@ -15,7 +15,7 @@
 ID = "X-Request-ID: %016x\r\nX-Priority-Class: chat\r\nX-Timeout-Ms: 2000\r\n"
 NUMBERS = itertools.count(0xBAD00000)
 HALF_BODY = 250_000  # bytes of 256 KiB
-DRIP, DRIPS_EACH = 4096, 0.05  # bytes, and seconds from one piece to the next
+DRIP, DRIPS_EACH = 4096, 0.05  # bytes, and seconds from one piece to the next, sent or read
 
 
 def sound_head(more=""):
@@ -114,9 +114,14 @@
         yield sound_head("Content-Length: %d\r\n\r\n" % len(body)) + body
 
 
-def long_answers():
-    """A sound request whose answer is long; it is read slowly."""
-    body = b'{"messages":[{"role":"user","content":"long"}],"stream":true,"max_tokens":9}'
+def slow_readers():
+    """A sound request whose answer is long, in many events; it is read in pieces with pauses between them."""
+    return long_answers(b"many")
+
+
+def long_answers(kind=b"long"):
+    """A sound request whose answer is long, in a few large events; nothing of it is read."""
+    body = b'{"messages":[{"role":"user","content":"%s"}],"stream":true,"max_tokens":9}' % kind
     yield sound_head("Content-Length: %d\r\n\r\n" % len(body)) + body
 
 
@@ -138,10 +143,11 @@
         body_drips,
         chunk_drips,
         whole_bodies,
+        slow_readers,
         long_answers,
     )
 }
-READS_SLOWLY = {"long_answers"}
+READS_NOTHING, READS_SLOWLY = {"long_answers"}, {"slow_readers"}
 # each client of "mixed" has one of these
 MIXED = (
     "half_bodies",
@@ -151,15 +157,16 @@
     "body_drips",
     "whole_bodies",
     "long_answers",
+    "slow_readers",
 )
 
 
 class BadClient:
     def __init__(self, shape, port):
-        self.reads = shape not in READS_SLOWLY
+        self.reads, self.reads_slowly = shape not in READS_NOTHING, shape in READS_SLOWLY
         self.sock = socket.socket()
         self.sock.setblocking(False)
-        if not self.reads:
+        if not self.reads or self.reads_slowly:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.sock.connect_ex(("127.0.0.1", port))
         self._parts, self._left = SHAPES[shape](), memoryview(b"")
@@ -198,7 +205,7 @@
         until = time.monotonic() + seconds
         while (now := time.monotonic()) < until:
             while self._pausing and self._pausing[0][0] <= now:
-                self._wait_for(self._pausing.popleft()[1], selectors.EVENT_WRITE | selectors.EVENT_READ)
+                self._go_on(self._pausing.popleft()[1])
             for key, events in self._watch.select(DRIPS_EACH / 2):
                 try:
                     self._act(key.data, events)
@@ -207,14 +214,21 @@
                 except OSError:
                     self._come_again(key.data)
 
-    def _wait_for(self, client, events):
-        if client.sock.fileno() >= 0:
-            self._watch.modify(client.sock, events, client)
+    def _go_on(self, client):
+        if client.sock.fileno() < 0:
+            return
+        if client.reads_slowly:
+            self._watch.register(client.sock, selectors.EVENT_READ, client)
+        else:
+            self._watch.modify(client.sock, selectors.EVENT_WRITE | selectors.EVENT_READ, client)
 
     def _act(self, client, events):
         if events & selectors.EVENT_READ:
-            if not client.sock.recv(READ_AT_ONCE):
+            if not client.sock.recv(DRIP if client.reads_slowly else READ_AT_ONCE):
                 raise ConnectionResetError
+            if client.reads_slowly:
+                self._watch.unregister(client.sock)
+                self._pausing.append((time.monotonic() + DRIPS_EACH, client))
         elif events & selectors.EVENT_WRITE and not (goes_on := client.write()):
             if not client.reads:
                 self._watch.unregister(client.sock)
--- a/tests/sockets/crowded_node.py
+++ b/tests/sockets/crowded_node.py
@@ -26,7 +26,9 @@
 ANSWER_SLACK = 0.5  # seconds after a request's time from which it is lost, by the page
 BEFORE = 0.5  # seconds for which bad clients have been there
 SERVED = 200
-LONG_EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n' % (b"x" * 40_000)
+EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n'
+# by what a request's body holds: some 240 KB in a few large events, or in many
+LONG_ANSWERS = {b'"long"': [EVENT % (b"x" * 40_000)] * 6, b'"many"': [EVENT % (b"x" * 150)] * 1200}
 PORTS = Ports()
 FAULT_EVENTS = "round_failed", "look_failed", "connection_failed", "forward_failed", "violation"
 MEMORY_EACH = 0.5  # seconds between looks at the node's memory: a look takes the system some time
@@ -47,14 +49,16 @@
     "body_drips": 600,
     "chunk_drips": 600,
     "whole_bodies": 600,
+    "slow_readers": 600,
     "long_answers": 300,
     "mixed": 600,
 }
 
 
 def _answer_long(server, sock, call, nth):
-    if b'"long"' in call["body"]:
-        sock.sendall(HEAD + b"".join(map(http.chunk, [LONG_EVENT] * 6 + EVENTS)) + http.chunk(b""))
+    events = next((events for kind, events in LONG_ANSWERS.items() if kind in call["body"]), None)
+    if events is not None:
+        sock.sendall(HEAD + b"".join(map(http.chunk, events + EVENTS)) + http.chunk(b""))
     else:
         server.answer(sock, call)
 
--- a/tests/sockets/test_held_bytes.py
+++ b/tests/sockets/test_held_bytes.py
@@ -11,11 +11,14 @@
 
 LIMIT = 1_000_000  # bytes
 HALF = b"x" * 200_000
+SMALL_EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n' % (b"x" * 150)
 LONG_EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n' % (b"x" * 200_000)
 
 
 def answer_long(server, sock, call, nth):
-    if b"long" in call["body"]:
+    if b"many" in call["body"]:
+        sock.sendall(HEAD + b"".join(map(http.chunk, [SMALL_EVENT] * 1000 + EVENTS)) + http.chunk(b""))
+    elif b"long" in call["body"]:
         sock.sendall(HEAD + b"".join(map(http.chunk, [LONG_EVENT, *EVENTS])) + http.chunk(b""))
     else:
         server.answer(sock, call)
@@ -67,3 +70,62 @@
         self.assertLessEqual(rig.node.door.bytes_unsent + rig.node.door.bytes_held, LIMIT)
         self.assertGreater(rig.node.counters["connection_closed_for_memory"], 0)
         self.assertEqual([rig.ask("%016x" % (100 + n))[0] for n in range(10)], [200] * 10)
+
+    # Report 82eceb: answers were read as fast as they came, and their clients cut when that was too much.
+    def test_answers_that_are_read_slowly_wait_at_their_servers_and_come_whole(self):
+        rig = self.rig()
+        rig.node.door.bytes_limit = 300_000
+        slow = [Client(rig.address) for _ in range(8)]
+        for n, client in enumerate(slow):
+            self.addCleanup(client.close)
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.ask("%016x" % n, body=b'{"messages":[{"content":"many"}]}')
+        rig.until(lambda: len(rig.engines["w"].calls) == len(slow))
+        most = 0
+        for _ in range(20):
+            gevent.sleep(0.05)
+            most = max(most, rig.node.door.bytes_on_their_way)
+        self.assertLessEqual(most, 300_000)
+        jobs = [gevent.spawn(client.answer) for client in slow]
+        gevent.joinall(jobs, timeout=20)
+        whole = len(SMALL_EVENT) * 1000 + len(b"".join(EVENTS))
+        self.assertEqual([(job.value[0], len(job.value[2]) >= whole) for job in jobs], [(200, True)] * 8)
+        self.assertEqual(rig.node.counters["connection_closed_for_memory"], 0)
+
+    # Report 82eceb, related: what servers had sent of events that were not whole was in no sum.
+    def test_half_heard_answers_are_bounded_together(self):
+        def half_an_event(server, sock, call, nth):
+            sock.sendall(HEAD + b"%x\r\n" % len(LONG_EVENT) + LONG_EVENT[:-10])
+            gevent.sleep(3)
+
+        rig = Rig(Engine("r", "prefill"), Engine("w", "decode", script=half_an_event), sockets=512)
+        self.addCleanup(rig.close)
+        rig.node.door.bytes_limit = LIMIT
+        clients = [rig.client().ask("%016x" % n) for n in range(12)]
+        rig.until(lambda: rig.node.counters["answer_ended_for_memory"] >= 5)
+        gevent.sleep(0.2)
+        self.assertGreater(rig.node.door.bytes_heard, 0)
+        self.assertLessEqual(rig.node.door.bytes_on_their_way, LIMIT)
+        ended = rig.node.counters["answer_ended_for_memory"]
+        statuses = [client.answer()[0] for client in clients]
+        self.assertGreaterEqual(statuses.count(502), ended)
+        self.assertTrue(set(statuses) <= {502, 503}, statuses)
+        rig.until(lambda: not rig.node.engines.out)
+        self.assertEqual(rig.node.door.bytes_heard, 0)
+
+    # Report 82eceb, related: whole requests were bounded by nothing but their number.
+    def test_large_whole_requests_leave_room_for_small_ones(self):
+        def hangs_on_large(server, sock, call, nth):
+            if len(call["body"]) > 10_000:
+                gevent.sleep(3)
+            server.answer(sock, call)
+
+        rig = Rig(Engine("r", "prefill", script=hangs_on_large), Engine("w", "decode"), sockets=512)
+        self.addCleanup(rig.close)
+        rig.node.door.bytes_limit = LIMIT
+        body = b'{"messages":[{"content":"%s"}]}' % (b"x" * 200_000)
+        large = [rig.client().ask("%016x" % n, body) for n in range(8)]
+        rig.until(lambda: rig.node.counters["refused_for_memory"] >= 5)
+        self.assertEqual(rig.node.door.bytes_open // 200_000, 3)
+        self.assertEqual([rig.ask("%016x" % (100 + n))[0] for n in range(10)], [200] * 10)
+        self.assertEqual(sorted(client.answer()[0] for client in large[3:]), [503] * 5)
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -46,6 +46,48 @@
         self.assertIs(Transfers.closed_first([new, slow], NOW), slow)
         self.assertIsNone(Transfers.closed_first([new], NOW))
 
+    # Report 82eceb: what is on its way is one sum, and what ends first does least harm.
+    def test_what_may_be_sent_again_goes_first_and_small_requests_last(self):
+        half = types.SimpleNamespace(size=200_000, reading_since=NOW - 1_000_000)
+        usual = types.SimpleNamespace(size=4_000, reading_since=NOW - 10_000)
+        unread = types.SimpleNamespace(unsent=90_000, unsent_since=NOW - 50_000)
+        heard, little = types.SimpleNamespace(buffered=40_000), types.SimpleNamespace(buffered=300)
+        first = Transfers().first_to_go
+        self.assertIs(first([usual, half], [unread], [heard], NOW), half)
+        self.assertIs(first([usual], [unread], [heard], NOW), unread)
+        self.assertIs(first([usual], [], [little, heard], NOW), heard)
+        self.assertIs(first([usual], [], [little], NOW), usual)
+        self.assertIsNone(first([], [], [little], NOW))
+
+    def test_large_requests_leave_a_quarter_to_small_ones(self):
+        for size, held, may in ((4_000, 990_000, True), (4_000, 999_000, False), (100_000, 640_000, True)):
+            with self.subTest(size=size, held=held):
+                self.assertIs(Transfers().may_hold_whole(size, held, 1_000_000), may)
+        self.assertFalse(Transfers().may_hold_whole(100_000, 660_000, 1_000_000))
+
+    # Report 82eceb: shares of all streams and what is read ahead are together within the limit.
+    def test_answers_read_ahead_of_slow_clients_are_within_the_limit(self):
+        transfers = Transfers()
+        for limit in (100_000, 950_000, 32_000_000):
+            for streams in (4, 60, 341):
+                share = transfers.read_share(limit, streams)
+                if share > transfers.read_at_once_least:
+                    ahead = limit * transfers.reads_ahead_part
+                    self.assertLessEqual(ahead + 2 * share * streams, limit + streams)
+        self.assertTrue(transfers.reads_ahead(700, 1000))
+        self.assertFalse(transfers.reads_ahead(800, 1000))
+
+    def test_a_client_that_takes_nothing_is_given_up_sooner_where_places_are_short(self):
+        for seconds, short, given_up in (
+            (2, False, False),
+            (6, False, True),
+            (2, True, True),
+            (0.5, True, False),
+        ):
+            with self.subTest(seconds=seconds, short=short):
+                since = NOW - int(seconds * 1_000_000)
+                self.assertIs(Transfers().takes_nothing(since, NOW, short), given_up)
+
     # Picture (c): the end behind a full receive buffer is not seen; without its bound nothing is known of it.
     def test_an_end_is_seen_while_there_is_room(self):
         for unread, buffer, seen in ((0, 400, True), (99, 400, True), (100, 400, False), (9_999, 0, True)):
