--- a/tests/sockets/bad_clients.py
+++ b/tests/sockets/bad_clients.py
@@ -114,6 +114,43 @@
         yield sound_head("Content-Length: %d\r\n\r\n" % len(body)) + body
 
 
+def paced(request):
+    """`request()` again and again, with a pause after each."""
+    while True:
+        yield request()
+        yield None
+
+
+def leavers():
+    """Sound requests that wait for a slow prefill server, whose clients close before they are answered."""
+    yield slowly_read(2000)
+    yield None
+    raise ConnectionAbortedError
+
+
+def short_deadlines():
+    """Sound requests that can't be served in their time."""
+    return paced(lambda: slowly_read(20))
+
+
+def slowly_read(timeout):
+    body = b'{"messages":[{"role":"user","content":"slow"}]}'
+    head = HEAD + b"X-Request-ID: %016x\r\nX-Priority-Class: chat\r\n" % next(NUMBERS)
+    return head + b"X-Timeout-Ms: %d\r\nContent-Length: %d\r\n\r\n" % (timeout, len(body)) + body
+
+
+def long_names():
+    """Sound requests under ever new and very long names of sessions and prefixes."""
+    body = b'{"messages":[]}'
+    names = "X-Route-Key: %s\r\nX-Attrs: prefix=%s,prefix_len=20,max_out=5\r\nContent-Length: %d\r\n\r\n"
+
+    def request():
+        n = next(NUMBERS)
+        return sound_head(names % ("%03000x" % n, "%04000x" % n, len(body))) + body
+
+    return paced(request)
+
+
 def slow_readers():
     """A sound request whose answer is long, in many events; it is read in pieces with pauses between them."""
     return long_answers(b"many")
@@ -143,6 +180,9 @@
         body_drips,
         chunk_drips,
         whole_bodies,
+        leavers,
+        short_deadlines,
+        long_names,
         slow_readers,
         long_answers,
     )
--- a/tests/sockets/crowded_node.py
+++ b/tests/sockets/crowded_node.py
@@ -32,6 +32,7 @@
 PORTS = Ports()
 FAULT_EVENTS = "round_failed", "look_failed", "connection_failed", "forward_failed", "violation"
 MEMORY_EACH = 0.5  # seconds between looks at the node's memory: a look takes the system some time
+SLOW_READ = 0.3  # seconds
 AFTER = 10  # usual requests once the crowd has gone
 DEFAULT = {
     "short_lines": 200,
@@ -49,6 +50,9 @@
     "body_drips": 600,
     "chunk_drips": 600,
     "whole_bodies": 600,
+    "leavers": 600,
+    "short_deadlines": 600,
+    "long_names": 600,
     "slow_readers": 600,
     "long_answers": 300,
     "mixed": 600,
@@ -63,6 +67,12 @@
         server.answer(sock, call)
 
 
+def _read_slowly(server, sock, call, nth):
+    if b'"slow"' in call["body"]:
+        gevent.sleep(SLOW_READ)
+    server.answer(sock, call)
+
+
 @dataclasses.dataclass
 class Seen:
     """One usual request; seconds from its sending."""
@@ -116,7 +126,7 @@
         self._shape, self._count, self.memory_mb, self._early = shape, count, memory_mb, early
         self._folder = tempfile.TemporaryDirectory(prefix="crowded-node-")
         self._agent = Agent()
-        engines = [Engine("r%d" % n, "prefill") for n in range(2)]
+        engines = [Engine("r%d" % n, "prefill", script=_read_slowly) for n in range(2)]
         engines += [Engine("w%d" % n, "decode", script=_answer_long) for n in range(servers)]
         self._engines = engines
         members = [engine.member() for engine in engines]
