Long names of sessions and prefixes are remembered by a hash

Clients choose X-Route-Key and the prefix in X-Attrs, up to 8 KB of head lines together, and the policy remembers the last 400 of both for each prefill server: up to 3.2 MB a server, whatever the memory limit.

A name of over 64 characters is remembered by 128 bits of a hash, the same at every process, so that affinity holds; usual names are kept as they come, and nothing changes for them. test_rules.LongNames failed before (7,000 characters kept).

--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -13,7 +13,7 @@
 from zlib import crc32
 
 from martenrouter.policy.endpoint_list import EndpointList
-from martenrouter.policy.hashing import draw, number, point
+from martenrouter.policy.hashing import draw, key_of, number, point
 from martenrouter.policy.held_states import clock_after, is_unanswered
 from martenrouter.policy.lateness import Lateness
 from martenrouter.policy.reasons import GiveUp
@@ -247,6 +247,7 @@
 
     def arrived(self, id, group, customer, session, deadline, hint, prefix, prompt, shared, max_out, flags):
         r = self.reqs[id] = self.live[id] = Record()
+        session, prefix = key_of(session), key_of(prefix)
         g = self.groups.get(group) or {}
         r.id, r.group, r.customer, r.session, r.prefix = id, g, customer, session, prefix
         r.home = prefix or session or str(id)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from unittest import mock
 
+from martenrouter.policy.hashing import key_of
 from martenrouter.rules import Front, draw
 from tests.cold_fleet import sent_to_a_cold_one
 from tests.helpers import SETTINGS, Rig, row
@@ -52,6 +53,25 @@
             self.assertTrue(0.3 < sum(one) / len(one) / 2**32 < 0.7)
 
 
+class LongNames(unittest.TestCase):
+    # Report 82eceb, related: clients name sessions and prefixes, and the last 400 at each prefill server were
+    # remembered at any length.
+    def test_long_names_are_remembered_by_a_hash(self):
+        rig, other = Rig(), Rig()
+        names = {"session": "s" * 7000, "prefix": "p" * 7000}
+        for one in rig, other:
+            one.ask(1, **names)
+            one.end(1, 0, "read", "r1")
+        kept = list(rig.front.engines["r1"].kept)
+        self.assertEqual(len(kept), 2)
+        self.assertLessEqual(max(map(len, [*kept, *rig.front.prefixes])), 64)
+        self.assertEqual(kept, list(other.front.engines["r1"].kept))
+
+    def test_usual_names_are_remembered_as_they_came(self):
+        for name in ("7f3a9c21e0b4d655", "x" * 64, 17, None):
+            self.assertEqual(key_of(name), name)
+
+
 class Rules(unittest.TestCase):
     def test_answer_before_the_deadline_and_nothing_pinned(self):
         rig = Rig([row("r1", "rd")])
