What is noted of bytes that drip in behind an open request is bounded

Arrivals noted each byte that came behind an open request and when, every 50 ms, for as long as the answer streamed: over 100 KB a connection in a minute, in no sum.

--- a/martenrouter/node/arrivals.py
+++ b/martenrouter/node/arrivals.py
@@ -40,6 +40,9 @@
         return self._previous if self._latest - self._previous > USUAL_TURN else clock.now()
 
 
+MARKS_MOST = 32  # of one connection; what comes after them is taken to have come as early as the last of them
+
+
 class Arrivals:
     """Of one connection: how many bytes were seen unread, and when."""
 
@@ -52,8 +55,11 @@
         return bool(self._marks)
 
     def seen(self, unread, at):
-        if not self._marks or unread > self._marks[-1][0]:
-            self._marks.append((unread, at))
+        if self._marks and unread <= self._marks[-1][0]:
+            return
+        if len(self._marks) >= MARKS_MOST:
+            _, at = self._marks.pop()
+        self._marks.append((unread, at))
 
     def consumed(self, count):
         while self._marks and self._marks[0][0] <= count:
