How many ids that may not run again are remembered follows from memory

A tenth of what is left is for them, 250 bytes each: 20,000 from 96 MB on as before, about 14,000 at 64 and 1,900 at 32 MB. The oldest are forgotten first, as before; clients give each request a new id. test_memory_budget.py counts them in.

--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -86,11 +86,14 @@
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
         self.listed(known, "configuration")
         self.desk.front.endpoint_list.taken_from_configuration(clock.now())
+        budget = MemoryBudget(self.memory_limit, self.memory.resident(), len(known.members))
+        ids = self.desk.front.repeated_ids
+        ids.most = budget.remembered_ids(ids.most)
         self.door = Door(
             self.listen,
             int(sockets * CLIENTS),
             int(sockets * REQS),
-            MemoryBudget(self.memory_limit, self.memory.resident(), len(known.members)),
+            budget,
             groups,
             [("retry-after", "%.3f" % (wait / 1e6))] if wait else [],
             self.desk.front.transfers,
--- a/martenrouter/policy/memory.py
+++ b/martenrouter/policy/memory.py
@@ -20,10 +20,11 @@
     left_least = 1_000 * KILOBYTE  # whatever the limit: a process that takes nobody serves nobody
 
     # shares of what is left; the rest is what prices miss
-    connections_share, requests_share, transfers_share = 1 / 3, 1 / 4, 1 / 5
+    connections_share, requests_share, transfers_share, ids_share = 1 / 3, 1 / 4, 1 / 5, 1 / 10
     connection_price = 12 * KILOBYTE  # greenlet, parser, head of a request
     request_price = 20 * KILOBYTE  # greenlet, connection to a server, what the policy knows
-    connections_least, requests_least, transfers_least = 16, 4, 100 * KILOBYTE
+    id_price = 250  # bytes, of an id that must not run again
+    connections_least, requests_least, transfers_least, ids_least = 16, 4, 100 * KILOBYTE, 400
     transfers_part = 1 / 6  # of the limit at most: half of it is to be free in usual service
 
     # of the system's buffers for a client, which grow and shrink with what stands in them
@@ -51,6 +52,10 @@
         """Open requests at once, `most` at the most."""
         return self._count(most, self.requests_share, self.request_price, self.requests_least)
 
+    def remembered_ids(self, most):
+        """Ids of requests that may have run and may not again, `most` at the most."""
+        return self._count(most, self.ids_share, self.id_price, self.ids_least)
+
     def _count(self, most, share, price, least):
         return min(most, max(int(self.left * share / price), least))
 
--- a/martenrouter/policy/repeated_ids.py
+++ b/martenrouter/policy/repeated_ids.py
@@ -6,12 +6,13 @@
 
 import collections
 
-REMEMBERED = 20_000  # ids; those that ended longest ago are forgotten first
+REMEMBERED = 20_000  # ids at the most; those that ended longest ago are forgotten first
 
 
 class RepeatedIds:
     def __init__(self):
         self._ended = collections.OrderedDict()
+        self.most = REMEMBERED  # fewer where memory is small
 
     def ended(self, id, effect, may_have_run):
         """The request is over; `effect`: of its endpoint group; `may_have_run`: whether an attempt may have
@@ -20,7 +21,7 @@
             return
         self._ended.pop(id, None)
         self._ended[id] = None
-        if len(self._ended) > REMEMBERED:
+        if len(self._ended) > self.most:
             self._ended.popitem(last=False)
 
     def may_run(self, id):
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -19,6 +19,7 @@
                     budget = MemoryBudget(limit * MEGABYTE, AT_REST)
                     clients, requests = budget.connections(sockets * 2 // 5), budget.requests(sockets // 3)
                     held = clients * budget.connection_price + requests * budget.request_price
+                    held += budget.remembered_ids(20_000) * budget.id_price
                     self.assertLessEqual(AT_REST + held + budget.transfers, budget.high)
 
     def test_no_limit_leaves_a_process_that_serves_nobody(self):
