Bounds are not narrowed by what a process holds before anybody comes

Bounds narrow from a megabyte over what is there at rest, at the least, and no further than 32 connections and 16 requests; a server in the list costs 0.5 KB once looked at (3,200: 1.3 MB, measured).

--- a/martenrouter/policy/memory.py
+++ b/martenrouter/policy/memory.py
@@ -16,7 +16,7 @@
     usual_at_rest = 30_000 * KILOBYTE  # where the system does not tell
     # for the list of servers, the policy's memory, the log, and what the allocator can't give back
     reserve_part, reserve_least = 1 / 16, 2_000 * KILOBYTE
-    server_price = 1 * KILOBYTE  # of each server, once the policy has looked at it
+    server_price = 500  # bytes, of each server, once the policy has looked at it
     left_least = 1_000 * KILOBYTE  # whatever the limit: a process that takes nobody serves nobody
 
     # shares of what is left; the rest is what prices miss
@@ -24,7 +24,7 @@
     connection_price = 12 * KILOBYTE  # greenlet, parser, head of a request
     request_price = 20 * KILOBYTE  # greenlet, connection to a server, what the policy knows
     id_price = 250  # bytes, of an id that must not run again
-    connections_least, requests_least, transfers_least, ids_least = 16, 4, 100 * KILOBYTE, 400
+    connections_least, requests_least, transfers_least, ids_least = 32, 16, 100 * KILOBYTE, 400
     transfers_part = 1 / 6  # of the limit at most: half of it is to be free in usual service
 
     # of the system's buffers for a client, which grow and shrink with what stands in them
@@ -37,8 +37,9 @@
         at_rest = self.usual_at_rest if resident is None else resident
         at_rest += servers * self.server_price
         reserve = max(limit * self.reserve_part, self.reserve_least)
-        self.high = limit - reserve  # resident bytes from which bounds are narrowed
         self.left = max(limit - reserve - at_rest, self.left_least)
+        # resident bytes from which bounds are narrowed: not by what is there before anybody came
+        self.high = max(limit - reserve, at_rest + self.left_least)
         self.transfers = int(
             max(min(self.left * self.transfers_share, limit * self.transfers_part), self.transfers_least)
         )
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -27,8 +27,9 @@
             for sockets in DESCRIPTORS:
                 with self.subTest(limit=limit, sockets=sockets):
                     budget = MemoryBudget(limit * MEGABYTE, AT_REST)
-                    self.assertGreaterEqual(budget.connections(sockets * 2 // 5), 16)
-                    self.assertGreaterEqual(budget.requests(sockets // 3), 4)
+                    self.assertGreaterEqual(budget.connections(sockets * 2 // 5), min(sockets * 2 // 5, 32))
+                    self.assertGreaterEqual(budget.requests(sockets // 3), 16)
+                    self.assertFalse(budget.look(AT_REST), "narrowed before anybody came")
                     self.assertGreaterEqual(budget.transfers, 100_000)
 
     def test_descriptors_bound_connections_where_memory_does_not(self):
