Clients that take nothing of their answers give their places to whole requests

Cause: an answer that had been given whole and was left unread kept its client's connection for 5 s, and no other gave way for one: the bound on connections and the sixteen places over it were all such, and what waited in the system's queue was not even read. Memory was not short, so nothing was closed for it.

Change: where no newcomer can be read, or a whole request has no place, the client that has taken nothing for longest, half a second at least, gives its own.

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -255,7 +255,7 @@
         if not proxy.may_take(ask.id):
             self.server.counters["refused_409"] += 1
             return self.answer(409, "a request with this X-Request-ID is open, or may have run")
-        if len(proxy.reqs) >= self.server.most_reqs_now:
+        if len(proxy.reqs) >= self.server.most_reqs_now and not self.server.make_room_for_request():
             # guards the descriptors that the list's watch and calls to let go need: each open request may
             # hold one at a server
             self.server.counters["refused_over_bound"] += 1
@@ -348,6 +348,11 @@
         elif self.unsent_since is None or self.unsent < before:
             self.unsent_since = now
 
+    @property
+    def waits_since(self):
+        """When the client last took something of its answer, or that began to wait; None where none waits."""
+        return self.buffer.waits_since
+
     def _leave(self, size):
         """So much of its answers waits here for the client."""
         self.server.memory.unread += size - self.left
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -115,7 +115,9 @@
     def _full(self):
         """Whether not even a newcomer can be answered: what is in the system's queue waits until one has
         been."""
-        return len(self.conns) >= self.most_now + NEWCOMERS and not self._make_room(clock.now())
+        if len(self.conns) < self.most_now + NEWCOMERS:
+            return False
+        return not self._make_room(clock.now()) and not self._displace_reader(self.conns.values())
 
     def keep_within_memory(self):
         """Ends what the policy names while more is held than may be; each alone is within its limit."""
@@ -234,20 +236,33 @@
             conn for conn in self.conns.values() if conn.state is State.READING and not conn.over_bound
         )
         conn = self.transfers.displaced_first(unfinished)
-        if conn is None:
+        if conn is not None:
+            self.counters["connection_made_room"] += 1
+            conn.refuse(503, "too many connections", self.come_back)
+        elif not self._displace_reader(self.conns.values()):
             return False
-        self.counters["connection_made_room"] += 1
-        conn.refuse(503, "too many connections", self.come_back)
         newcomer.over_bound = False
         return True
 
+    def make_room_for_request(self):
+        """Whether a whole request has got the place of one whose client takes nothing of its stream."""
+        return self._displace_reader(conn for conn in self.conns.values() if conn.streaming)
+
+    def _displace_reader(self, conns):
+        waiting = (conn for conn in conns if conn.waits_since is not None)
+        conn = self.transfers.displaced_reader(waiting, clock.now())
+        if conn is None:
+            return False
+        self.counters["connection_closed_unread"] += 1
+        self._close_unread(conn, "its client takes nothing, and another wants its place")
+        return True
+
     def sweep(self, now):
         if self.listens:
             self.server.resume()  # connections may have come to rest, none of which has ended
-        short = self._places_short()
         for conn in list(self.conns.values()):
             try:
-                self._look_at(conn, now, short)
+                self._look_at(conn, now)
             except Exception as why:
                 # the others are looked at all the same
                 self.counters["connection_failed"] += 1
@@ -263,21 +278,15 @@
             if not self._make_room(now):
                 return
 
-    def _places_short(self):
-        """Whether others want for the places of clients that take nothing of their answers."""
-        most_requests = self.most_reqs_now * self.transfers.places_short_part
-        return len(self.hands.reqs) >= most_requests or len(self.conns) >= self.most_now
-
     def _close_unread(self, conn, why):
         """Its client leaves its answer: a stream that still runs is given up, and ends in the log too."""
         if conn.streaming:
             self.hands.given_up_unread(conn.request)
         conn.close(why)
 
-    def _look_at(self, conn, now, short):
+    def _look_at(self, conn, now):
         conn.look_at_unsent(now)
-        waits_since = conn.buffer.waits_since
-        if waits_since is not None and self.transfers.takes_nothing(waits_since, now, short):
+        if conn.waits_since is not None and self.transfers.takes_nothing(conn.waits_since, now):
             self.counters["connection_closed_unread"] += 1
             self._close_unread(conn, "its client takes nothing")
         elif conn.closing_since is not None and now - conn.closing_since > LINGER:
--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -20,9 +20,8 @@
     reads_ahead_part = 3 / 4
     read_at_once, read_at_once_least = 64 * 1024, 2 * 1024  # bytes of an answer
 
-    # microseconds for which a client may take nothing of its answer; where places are short
-    takes_nothing_within, takes_nothing_within_short = 5_000_000, 1_000_000
-    places_short_part = 3 / 4  # of the open requests that there may be
+    # microseconds for which a client may take nothing of its answer; where another wants its place
+    takes_nothing_within, takes_nothing_displaced = 5_000_000, 500_000
 
     # microseconds of a stream that has begun. The platform wants the client of a spoilt one let off within
     # 5 s, and that of one whose server is silent: half an event that stands still for so long is spoilt
@@ -68,11 +67,17 @@
         `limit`: large ones leave room for small ones."""
         return held + size <= (limit if size <= self.small else limit * self.large_part)
 
-    def takes_nothing(self, waits_since, now, short):
-        """Whether a client is given up that has taken nothing since then; `short`: whether others want for
-        its place."""
-        within = self.takes_nothing_within_short if short else self.takes_nothing_within
-        return now - waits_since > within
+    def takes_nothing(self, waits_since, now):
+        """Whether a client is given up that has taken nothing since then."""
+        return now - waits_since > self.takes_nothing_within
+
+    def displaced_reader(self, waiting, now):
+        """Of clients whose answers wait for them, each with `waits_since`, the one that gives its place to a
+        whole request: who has taken nothing for longest. None where all have taken something lately."""
+        slowest = min(waiting, key=lambda one: one.waits_since, default=None)
+        if slowest is None or now - slowest.waits_since < self.takes_nothing_displaced:
+            return None
+        return slowest
 
     def reads_ahead(self, on_their_way, limit):
         """Whether answers are read as fast as they come, however slowly their clients take them."""
--- a/tests/sockets/test_bad_clients.py
+++ b/tests/sockets/test_bad_clients.py
@@ -12,11 +12,14 @@
 
 
 class BadClients(unittest.TestCase):
-    def check(self, **shapes):
+    def check(self, sockets=1024, **shapes):
         """`shapes`: how many clients of each."""
         told = list(shapes.items())
         for first in range(0, len(told), AT_ONCE):
-            plays = [gevent.spawn(play_apart, shape, count) for shape, count in told[first : first + AT_ONCE]]
+            plays = [
+                gevent.spawn(play_apart, shape, count, sockets=sockets)
+                for shape, count in told[first : first + AT_ONCE]
+            ]
             gevent.joinall(plays, raise_error=True)
             for outcome in (play.value for play in plays):
                 with self.subTest(outcome.summary()):
@@ -42,3 +45,7 @@
     def test_slow_clients_take_neither_memory_nor_room_from_usual_ones(self):
         self.check(half_bodies=600, half_heads=600, slow_writers=600)
         self.check(long_answers=600)
+
+    # Report 82eceb, related: answers that had been given and were left unread held all places for 5 s.
+    def test_unread_answers_hold_no_places_that_others_want(self):
+        self.check(sockets=256, long_answers=600)
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -77,16 +77,16 @@
         self.assertTrue(transfers.reads_ahead(700, 1000))
         self.assertFalse(transfers.reads_ahead(800, 1000))
 
-    def test_a_client_that_takes_nothing_is_given_up_sooner_where_places_are_short(self):
-        for seconds, short, given_up in (
-            (2, False, False),
-            (6, False, True),
-            (2, True, True),
-            (0.5, True, False),
-        ):
-            with self.subTest(seconds=seconds, short=short):
-                since = NOW - int(seconds * 1_000_000)
-                self.assertIs(Transfers().takes_nothing(since, NOW, short), given_up)
+    def test_a_client_that_takes_nothing_is_given_up_or_gives_its_place(self):
+        def one(seconds):
+            return types.SimpleNamespace(waits_since=NOW - int(seconds * 1_000_000))
+
+        transfers, slowest = Transfers(), one(3)
+        self.assertFalse(transfers.takes_nothing(one(4.9).waits_since, NOW))
+        self.assertTrue(transfers.takes_nothing(one(5.1).waits_since, NOW))
+        self.assertIs(transfers.displaced_reader([one(0.6), slowest, one(0)], NOW), slowest)
+        self.assertIsNone(transfers.displaced_reader([one(0.4), one(0.1)], NOW))
+        self.assertIsNone(transfers.displaced_reader([], NOW))
 
     # Picture (c): the end behind a full receive buffer is not seen; without its bound nothing is known of it.
     def test_an_end_is_seen_while_there_is_room(self):
