--- a/martenrouter/node/hands.py
+++ b/martenrouter/node/hands.py
@@ -13,7 +13,7 @@
 from martenrouter.node.guard import Guard, Reason
 from martenrouter.node.held_states import HeldStates
 from martenrouter.node.load import Load
-from martenrouter.policy.reasons import GiveUp
+from martenrouter.rules import GiveUp
 
 LOOKS = 50_000  # microseconds between looks at what no event tells (node/life.py)
 LONG = 60_000_000  # microseconds that a stream may go on of which nothing is known
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -22,7 +22,6 @@
 from martenrouter.node.server_starts import ServerStarts
 from martenrouter.node.signals import ignore_from_now_on
 from martenrouter.node.watch import Watch
-from martenrouter.policy.memory import MemoryBudget
 from martenrouter.rules import Front
 from martenrouter.settings import told
 from martenrouter.wire.platform import configuration as codec
@@ -86,14 +85,11 @@
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
         self.listed(known, "configuration")
         self.desk.front.endpoint_list.taken_from_configuration(clock.now())
-        budget = MemoryBudget(self.memory_limit, self.memory.resident(), len(known.members))
-        ids = self.desk.front.repeated_ids
-        ids.most = budget.remembered_ids(ids.most)
         self.door = Door(
             self.listen,
             int(sockets * CLIENTS),
             int(sockets * REQS),
-            budget,
+            self.desk.front.memory_budget(self.memory_limit, self.memory.resident(), len(known.members)),
             groups,
             [("retry-after", "%.3f" % (wait / 1e6))] if wait else [],
             self.desk.front.transfers,
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -16,6 +16,7 @@
 from martenrouter.policy.hashing import draw, key_of, number, point
 from martenrouter.policy.held_states import clock_after, is_unanswered
 from martenrouter.policy.lateness import Lateness
+from martenrouter.policy.memory import MemoryBudget
 from martenrouter.policy.reasons import GiveUp
 from martenrouter.policy.release import TRIES, Releases
 from martenrouter.policy.repeated_ids import RepeatedIds
@@ -273,6 +274,12 @@
             total.add(self.now, prompt)
             count.add(self.now, 1)
 
+    def memory_budget(self, limit, resident, servers):
+        """The bounds of this process: see policy/memory.py. What is remembered here follows from them too."""
+        budget = MemoryBudget(limit, resident, servers)
+        self.repeated_ids.most = budget.remembered_ids(self.repeated_ids.most)
+        return budget
+
     def resumed(self, id, *told):
         """An answer that paused for a tool; its state has waited at an engine; `here` goes on there."""
         self.arrived(id, *told[:-3])
