Half requests give their places as fast as newcomers are read

Cause: with the bound kept, one half request was refused at a time, and the next only when its client had closed; what waits in the system's queue waited for that.

--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -198,11 +198,14 @@
         self.conns.pop(id(conn), None)
 
     def _make_room(self, now):
-        """Whether a place is free by now. If nobody can be closed, a request that is not whole is refused,
-        whose place is free once its client has got the answer."""
+        """Whether a place is free by now. If nobody can be closed, requests that are not whole are refused, as
+        many at once as newcomers are read; their places are free once their clients have got the answers."""
         if self._close_of_least_use(now):
             return True
-        self._refuse_unfinished(now)
+        leaving = sum(conn.state in (State.DISCARDING, State.CLOSING) for conn in self.conns.values())
+        for _ in range(NEWCOMERS - leaving):
+            if not self._refuse_unfinished(now):
+                break
         return False
 
     def _close_of_least_use(self, now):
