--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -198,8 +198,9 @@
         self.conns.pop(id(conn), None)
 
     def _make_room(self, now):
-        """Whether a place is free by now. If nobody can be closed, requests that are not whole are refused, as
-        many at once as newcomers are read; their places are free once their clients have got the answers."""
+        """Whether a place is free by now. If nobody can be closed, requests that are not whole are refused;
+        their places are free once their clients have got the answers. As many leave at once as newcomers are
+        read."""
         if self._close_of_least_use(now):
             return True
         leaving = sum(conn.state in (State.DISCARDING, State.CLOSING) for conn in self.conns.values())
