A half request may give its place after a tenth of a second

A place turned over once in 0.25 s and more, as no younger half request was refused where all places were taken.

The oldest goes first, and with 503, so a usual request that is written slowly into a full node is refused and not lost.

--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -20,7 +20,7 @@
     reads_ahead_part = 3 / 4
     read_at_once, read_at_once_least = 64 * 1024, 2 * 1024  # bytes of an answer
 
-    whole_soon = 250_000  # microseconds in which a usual request is whole
+    whole_soon = 100_000  # microseconds in which a usual request is whole
     # microseconds for which a client may take nothing of its answer; where another wants its place
     takes_nothing_within, takes_nothing_displaced = 5_000_000, 500_000
 
