--- a/review/deployments.py
+++ b/review/deployments.py
@@ -1,5 +1,5 @@
-"""Settings of small deployments, as an instance is told them: figures of the site files, within the ranges that
-they give."""
+"""Settings of small deployments, as an instance is told them: figures of the site files, within the ranges
+that they give."""
 
 
 def settings(site, fronts=2):
--- a/review/engine_standin.py
+++ b/review/engine_standin.py
@@ -3,18 +3,20 @@
     python engine_standin.py '{"id": "rd-1", "role": "read", "port": 7811, "store": 7900, ...}'
 
 A reader reads a prompt at a fixed pace, leaves its state (noted in the store of the test) and answers 202. A
-writer takes the state from the store, or answers 410 where there is none, and streams its answer. Work that
-has begun goes on when its caller closes, as `cancel = "queued"` of the sites has it. DELETE lets go of all
-states of a request, at whichever engine. A stop (SIGSTOP) hangs the process.
+writer takes the state from the store, or answers 410 where there is none, and streams its answer. When its
+caller closes, work that has begun goes on and other work is dropped, as `cancel = "queued"` of the sites has
+it. DELETE lets go of all states of a request, at whichever engine. A stop (SIGSTOP) hangs the process.
 """
 
 import json
+import signal
 import socket
 import sys
 import threading
 import time
 
 CHARACTERS = 4  # make a token, by the protocol page
+STEP = 0.02  # seconds: a prefill engine's step, by the site file
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -41,7 +43,8 @@
 class Engine:
     """`told`: id, role, port, store; and, with defaults, `read_per_s` tokens, `first_s`, `token_s` seconds,
     `tokens` of an answer, `pause_s` between the two pieces in which an event is written (0: one piece),
-    `notes_event`: number of the event after whose first piece the store is told, 0 for none."""
+    `notes_event`: number of the event after whose first piece the store is told, 0 for none; `slow`: how many
+    times slower it reads from SIGUSR1 to SIGUSR2."""
 
     def __init__(self, told):
         self.id, self.role, self.port, self.store = told["id"], told["role"], told["port"], told["store"]
@@ -49,8 +52,11 @@
         self.first_s, self.token_s = told.get("first_s", 0.05), told.get("token_s", 0.05)
         self.tokens, self.pause_s = told.get("tokens", 20), told.get("pause_s", 0)
         self.notes_event = told.get("notes_event", 0)
+        self.slower = 1  # times
 
-    def run(self):
+    def run(self, slow):
+        signal.signal(signal.SIGUSR1, lambda *_: self.pace(slow))
+        signal.signal(signal.SIGUSR2, lambda *_: self.pace(1))
         server = socket.create_server(("127.0.0.1", self.port), backlog=256)
         self.tell("up")
         while True:
@@ -58,6 +64,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
+    def pace(self, slower):
+        self.slower = slower
+
     def tell(self, what, id="-", **more):
         """Tells the test's store; returns its answer."""
         line = {"what": what, "id": id, "engine": self.id, "at": time.monotonic(), **more}
@@ -92,6 +101,8 @@
             self.tell("release", path.rpartition("/")[2])
             sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
             return True
+        if self.has_gone(sock):
+            return False  # work that has not begun is dropped with its caller
         id, prompt = headers["x-request-id"], self.prompt_of(headers, size)
         self.tell("call", id, path=path, left_ms=int(headers["x-timeout-ms"]))
         try:
@@ -99,13 +110,22 @@
         finally:
             self.tell("over", id)
 
+    @staticmethod
+    def has_gone(sock):
+        """Whether the caller has closed."""
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+
     @staticmethod
     def prompt_of(headers, size):
         attrs = dict(part.partition("=")[::2] for part in headers.get("x-attrs", "").split(",") if part)
         return int(attrs.get("prompt_len") or size // CHARACTERS)
 
     def read(self, sock, id, prompt):
-        time.sleep(prompt / self.read_per_s)
+        for _ in range(max(int(prompt / self.read_per_s / STEP), 1)):
+            time.sleep(STEP * self.slower)
         self.tell("read", id)
         sock.sendall(b"HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n" + b'{"cached_tokens":0}')
         return True
@@ -142,4 +162,5 @@
 
 
 if __name__ == "__main__":
-    Engine(json.loads(sys.argv[1])).run()
+    ARGUMENTS = json.loads(sys.argv[1])
+    Engine(ARGUMENTS).run(ARGUMENTS.get("slow", 1))
