--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,10 @@
-"""A client gives up during a long read while its front node is told to end: is the read's state let go of?"""
+"""A front node starts anew while discovery is down for long, and its agent had been told of drains: do the
+draining engines get work?"""
 
 import pathlib
 import signal
-import socket
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,60 +12,55 @@
 import deployments  # noqa: E402
 import stage as s  # noqa: E402
 
-HELD_MOST = 0.5 + 0.3 + 0.05  # seconds: release_ms of the site, 300 ms more, and 50 ms on sockets
-PROMPT = 18_000  # tokens: a read of 1.5 s at the site's 12,000 a second
-ENDS_AT, LEAVES_AT = 0.1, 0.4  # seconds after the request
-KILL = 3.0 + 0.7  # seconds after SIGTERM: no SIGKILL comes before
-WATCHED = 8.0  # seconds: long past the time when the read ends
+GRACE = 1.0 + 0.05  # seconds: drain_grace_ms of the site, and 50 ms on sockets
+AWAY = 3.0  # seconds for which the front node is away
+WATCHED = 42.0  # seconds from its new start
+EACH = 0.3  # seconds between requests
 
 
 def play(stage):
-    pace = {"read_per_s": 12_000}
     engines = [
-        stage.engine("rd-1", "read", "lectura", **pace),
-        stage.engine("wr-1", "write", "respuesta"),
-        stage.engine("wr-2", "write", "respuesta"),
+        stage.engine("rd-1", "read", "prefill"),
+        stage.engine("rd-2", "read", "prefill"),
+        stage.engine("wr-1", "write", "decode"),
+        stage.engine("wr-2", "write", "decode"),
     ]
-    known = 41, s.members_of(engines)
-    agent = s.Agent(*known, stage.note)
-    front = stage.front("n0", deployments.settings("estacionamiento-mvd"), known, agent)
+    before = 41, s.members_of(engines)
+    agent = s.Agent(*before, stage.note)
+    settings = deployments.settings("bilbao-main")
+    front = stage.front("n0", settings, before, agent)
     front.wait_ready()
-    for n in range(3):
-        front.ask("%016x" % (0xC000 + n), "multa", 15_000, prompt=600)
-    id = "%016x" % 0xC100
-    client = front.connect()
-    began = time.monotonic()
-    client.sendall(s.request(id, "multa", 15_000, prompt=PROMPT))
-    stage.note("client", "sent %s" % id)
-    stage.wait_for(lambda: stage.store.of("call", id), 2, "the read has begun")
-    time.sleep(max(began + ENDS_AT - time.monotonic(), 0))
+    for n in range(4):
+        front.ask("%016x" % (0xB000 + n), "chat", 7200, prompt=600)
+    stage.signal(front.process, signal.SIGKILL, "n0")
+    front.process.wait()
+    agent.tell(s.members_of(engines, {"rd-2": "leaving", "wr-2": "leaving"}))
+    stage.note("agent", "has revision 42: rd-2 and wr-2 are leaving")
+    time.sleep(1.0)
     if s.TROUBLE:
-        stage.signal(front.process, signal.SIGTERM, "n0")
-    told = time.monotonic()
-    time.sleep(max(began + LEAVES_AT - time.monotonic(), 0))
-    client.shutdown(socket.SHUT_RDWR)
-    client.close()
-    stage.note("client", "%s: gives up, and closes" % id)
-    ended = None
-    while time.monotonic() < began + WATCHED:
-        if ended is None and front.process.poll() is not None:
-            ended = time.monotonic()
-            stage.note(
-                "n0", "ended by itself, exit %s, after %.2f s" % (front.process.returncode, ended - told)
-            )
-        time.sleep(0.01)
-    if not stage.store.of("read", id):
-        raise s.CantRun("the read did not end")
-    since = stage.store.held().get(id)
-    held = [until - since for of, since, until in stage.store.ended if of == id]
-    if since is not None:
-        held.append(time.monotonic() - since)
-    broken = max(held) > HELD_MOST
-    by_itself = ended is not None and ended - told < KILL
-    if s.TROUBLE and broken and not by_itself:
-        raise s.CantRun("the front node did not end by itself before a kill might come")
-    still = "is still held" if since is not None else "was held"
-    return stage.finish(broken, "the state %s after %.2f s, %.2f allowed" % (still, max(held), HELD_MOST))
+        agent.silence(True)
+        stage.note("agent", "discovery is down")
+    time.sleep(AWAY - 1.0)
+    front = stage.front("n0", settings, before, agent, port=front.port)
+    started = time.monotonic()
+    front.wait_ready()
+    threads, n = [], 0
+    while time.monotonic() < started + WATCHED:
+        id = "%016x" % (0xB100 + n)
+        threads.append(threading.Thread(target=front.ask, args=(id, "chat", 7200), kwargs={"prompt": 600}))
+        threads[-1].start()
+        n += 1
+        time.sleep(EACH)
+    for thread in threads:
+        thread.join(15)
+    late = [
+        call
+        for call in stage.store.of("call")
+        if call["engine"] in ("rd-2", "wr-2") and call["at"] > started + GRACE
+    ]
+    if late:
+        stage.note("case", "the first came %.1f s after the start" % (late[0]["at"] - started))
+    return stage.finish(late, "%d calls at draining engines, of %d requests" % (len(late), n))
 
 
 if __name__ == "__main__":
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 .venv/bin/python - <<'P'
 import glob
 
-for path in ["review/stage.py", "review/deployments.py", "review/engine_standin.py"] + sorted(
+for path in ["review/stage.py", "review/deployments.py", "review/engine_standin.py", "review/crowd_standin.py"] + sorted(
     glob.glob("review/[6-9]/*.py") + glob.glob("review/10/*.py")
 ):
     compile(open(path).read(), path, "exec")
