--- a/review/crowd_standin.py
+++ b/review/crowd_standin.py
@@ -20,7 +20,7 @@
         "Host: service.internal",
         "X-Request-ID: bad%013x" % n,
         "X-Priority-Class: chat",
-        "X-Timeout-Ms: 3600",
+        "X-Timeout-Ms: 2000",
         "Content-Length: %d" % len(body),
     )
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
