Act on the list of servers only while nothing can have come to the agent unheard

Cause: EndpointList.confirmed was set once and never taken back, and TRUSTED_AFTER stood for a confirmation. The guard asks again at a send's first byte, a move counts from its signal, and a hung attempt is not cancelled while none could follow.

Evidence: the log of the case has no list line but the configuration's, and the guard's phases had both servers as up, so that no news was lost and none was overruled.

--- a/martenrouter/node/guard.py
+++ b/martenrouter/node/guard.py
@@ -16,6 +16,7 @@
 
     OVER = "request_over"
     DRAINING = "server_drains"
+    LIST_UNCONFIRMED = "discovery_not_heard"
     LATE = "deadline_passed"
     CLIENT_LEFT = "client_left"
     CLIENT_UNSEEN = "client_may_have_left"
@@ -30,7 +31,8 @@
 
 
 class Guard:
-    """`phases`, `places` are kept by the node: server's id -> phase, and -> (zone, cell)."""
+    """`phases`, `places` are kept by the node: server's id -> phase, and -> (zone, cell). `list_usable(now)`,
+    also the node's, says whether the policy still acts on the list."""
 
     def __init__(self, settings, counters, log):
         get = settings.get
@@ -39,6 +41,7 @@
         self._held_limit = get("release_within", 1_000_000) + HELD_SLACK
         self._counters, self._log = counters, log
         self.phases, self.places = {}, {}
+        self.list_usable = lambda now: True
 
     # ---- sending and repeating ----
 
@@ -60,6 +63,8 @@
             return Reason.OVER
         if self.phases.get(attempt.engine) != "up":
             return Reason.DRAINING
+        if not self.list_usable(now):
+            return Reason.LIST_UNCONFIRMED
         if now >= attempt.until:
             return Reason.LATE
         if request.conn.line.ended():
--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -22,7 +22,7 @@
 from martenrouter.node.server_starts import ServerStarts
 from martenrouter.node.signals import ignore_from_now_on
 from martenrouter.node.watch import Watch
-from martenrouter.rules import Front
+from martenrouter.rules import DiscoveryEvent, Front
 from martenrouter.settings import told
 from martenrouter.wire.platform import configuration as codec
 from martenrouter.wire.platform import members
@@ -84,7 +84,11 @@
         groups = {group.get("name") for group in plain["groups"]}
         wait = min(COME_BACK, plain.get("advice_cap", 0)) if plain.get("may_advise") else 0
         self.listed(known, "configuration")
-        self.desk.front.endpoint_list.taken_from_configuration(clock.now())
+        self.endpoint_list = self.desk.front.endpoint_list
+        self.endpoint_list.take(DiscoveryEvent.STARTED, clock.now())
+        self.guard.list_usable = self.endpoint_list.may_be_used
+        self.list_in_doubt = True  # whether the policy is to be told of the next line, though it is empty
+        self.list_said_usable = True  # as the log last had it
         self.door = Door(
             self.listen,
             int(sockets * CLIENTS),
@@ -104,6 +108,7 @@
             self.counters,
             log,
             self._heard_of_list,
+            self._noticed_of_list,
         )
         self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
 
@@ -150,6 +155,7 @@
                 self.guard.places.pop(id, None)
         self.engines.moved(moved)
         self.desk.post("listed", message.revision, scope, rows)
+        self.list_in_doubt = scope == "configuration"
         took = clock.now() - begun
         self.load.list_taken(took)
         self.log.info(
@@ -163,12 +169,18 @@
     def _heard_of_list(self):
         """A line of the watch came, perhaps an empty one: there is nothing newer than what was told."""
         self.starts.heard(clock.now())
-        if not self.desk.front.endpoint_list.confirmed:
+        if self.list_in_doubt:
+            self.list_in_doubt = False
             self.desk.post("list_current")
 
+    def _noticed_of_list(self, event, at=None):
+        """Something that bears on whether the list is what the agent has; in order with what is listed."""
+        self.list_in_doubt = True
+        self.desk.post("discovery", event, clock.now() if at is None else at)
+
     def ready(self):
         """Whether clients may be sent here."""
-        return self.desk.front.endpoint_list.is_ready(clock.now())
+        return self.endpoint_list.is_ready(clock.now())
 
     def _row(self, member, start, revision):
         phase, *rest = members.row(member, start)
@@ -234,6 +246,7 @@
                 self.engines.sweep,
                 lambda: self.door.sweep(now),
                 lambda: self._look_at_memory(now),
+                lambda: self._look_at_list(now),
                 lambda: self.load.look(now, **self._gauges()),
             ):
                 try:
@@ -251,6 +264,21 @@
         if resident is not None:
             self.load.memory(now, resident, self.memory_limit, **self._held_for_clients())
 
+    def _look_at_list(self, now):
+        usable = self.endpoint_list.may_be_used(now)
+        if usable != self.list_said_usable:
+            self.list_said_usable = usable
+            if usable:
+                self.log.info("list_usable_again")
+            else:
+                self.counters["list_unconfirmed"] += 1
+                self.log.warning(
+                    "list_unconfirmed",
+                    why=self.endpoint_list.why,
+                    discovery="%s:%d" % self.watch.address,
+                    mend="requests are refused until the agent is heard: look at it, or name another one",
+                )
+
     def _held_for_clients(self):
         return {
             "clients": len(self.door.conns),
@@ -266,6 +294,7 @@
         nothing. As it may be half written just now, it is looked at again: for half a second before that is
         said, and for some seconds more, or to the next signal, after that."""
         self.reloads += 1
+        self._noticed_of_list(DiscoveryEvent.RELOAD_ASKED)
         for _ in range(UNREADABLE):
             if self._reloaded() is None:
                 return
@@ -295,7 +324,8 @@
             return str(why)
         self.counters["reloaded"] += 1
         self.log.info("reloaded", discovery=settings.discovery)
-        self.watch.move(codec.address(settings.discovery, "$.discovery"))
+        moved = self.watch.move(codec.address(settings.discovery, "$.discovery"))
+        self._noticed_of_list(DiscoveryEvent.AGENT_MOVED if moved else DiscoveryEvent.RELOAD_ENDED)
         return None
 
     def stop(self):
--- a/martenrouter/node/watch.py
+++ b/martenrouter/node/watch.py
@@ -1,11 +1,12 @@
 """The watch of the platform's list of servers: a connection to the agent that stays open, made anew when it
-is silent."""
+is silent. What happens on the way is told to the policy as a DiscoveryEvent."""
 
 import gevent
 from gevent.event import Event
 
 from martenrouter.edge import clock
 from martenrouter.edge.line import Line
+from martenrouter.rules import DiscoveryEvent
 from martenrouter.wire import http
 from martenrouter.wire.platform import members, messages
 
@@ -56,13 +57,19 @@
     def __init__(self):
         self.greenlet = None
         self.bytes = 0  # of its answer that have come
+        self.connected = False
+        self.news_began = False  # whether a part of a line has been told of, up to that line's end
 
 
 class Watch:
-    def __init__(self, address, revision, told, counters, log, heard=lambda: None):
+    def __init__(
+        self, address, revision, told, counters, log, heard=lambda: None, noticed=lambda event: None
+    ):
         """`address`: (host, port); `told(members.Told)` takes what comes, in order; `heard()` is called after
-        each line, also an empty one."""
+        each line, also an empty one; `noticed(DiscoveryEvent)` after all else that says something of the
+        agent."""
         self.address, self.revision, self.told, self.heard = address, revision, told, heard
+        self.noticed = noticed
         self.counters, self.log = counters, log
         self.greenlet = None
         self.line_within = LINE_WITHIN
@@ -74,15 +81,18 @@
         self.greenlet = gevent.spawn(self._run)
 
     def move(self, address):
-        """Another agent; the list that is held stays, and what changed since is asked for there."""
-        if address != self.address:
-            self.address = address
-            self.greenlet.kill()
-            # all of them have ended before the first call to the other agent is made
-            gevent.killall([call.greenlet for call in self._calls])
-            self._calls, self._answered = [], None
-            self._changed.clear()
-            self.start()
+        """Another agent; the list that is held stays, and what changed since is asked for there. Returns
+        whether it is another one."""
+        if address == self.address:
+            return False
+        self.address = address
+        self.greenlet.kill()
+        # all of them have ended before the first call to the other agent is made
+        gevent.killall([call.greenlet for call in self._calls])
+        self._calls, self._answered = [], None
+        self._changed.clear()
+        self.start()
+        return True
 
     def _run(self):
         try:
@@ -124,12 +134,26 @@
             # here on
             self.counters["watch_broken"] += 1
             self.log.info("watch_broken", why="%s: %s" % (type(why).__name__, why))
+            event = self._shown_by_end(call, why)
+            if event is not None:
+                self.noticed(event)
         finally:
             self._calls = [other for other in self._calls if other is not call]
             if self._answered is call:
                 self._answered = None
             self._changed.set()
 
+    @staticmethod
+    def _shown_by_end(call, why):
+        """What the end of a call shows of the agent: a DiscoveryEvent, None where it was only silent or this
+        machine failed."""
+        if isinstance(why, (gevent.Timeout, Slow)):
+            return None
+        if call.connected:
+            return DiscoveryEvent.CALL_ENDED
+        refused = isinstance(why, ConnectionRefusedError)
+        return DiscoveryEvent.CALL_REFUSED if refused else None
+
     def _is_answered(self, call):
         """The call's first line came: it is the watch."""
         if self._answered is not call:
@@ -149,6 +173,8 @@
         silence = gevent.Timeout.start_new(patience)
         try:
             line = Line(self.address, patience)
+            call.connected = True
+            self.noticed(DiscoveryEvent.CALL_CONNECTED)
             line.sendall(http.request("GET", members.whole(self.revision), "%s:%d" % self.address, ()))
             while True:
                 data = line.recv(64 * 1024)
@@ -166,13 +192,16 @@
                         raise OSError("ended by the agent")
                 if lines.count:
                     # whole lines alone show that the watch lives, not bytes of one that never ends
-                    lines.count = 0
+                    lines.count, call.news_began = 0, False
                     self.line_within, patience = LINE_WITHIN, SILENT
                     progress = LineProgress(patience * 1e6, self.line_within * 1e6)
                     if not lines.inside:
                         self.heard()
                 else:
                     progress.came(clock.now(), len(data))
+                if not call.news_began and lines.begun:
+                    call.news_began = True
+                    self.noticed(DiscoveryEvent.NEWS_BEGAN)
                 silence.close()
                 silence = gevent.Timeout.start_new(patience)
         except Slow:
--- a/martenrouter/rules.py
+++ b/martenrouter/rules.py
@@ -12,6 +12,7 @@
 from statistics import median
 from zlib import crc32
 
+from martenrouter.policy.endpoint_list import DiscoveryEvent as DiscoveryEvent  # for martenrouter.node
 from martenrouter.policy.endpoint_list import EndpointList
 from martenrouter.policy.hashing import draw, key_of, number, point
 from martenrouter.policy.held_states import clock_after, is_unanswered
@@ -152,7 +153,8 @@
         self.servers = Servers(get("writers_read", False))
         self.place_on_ring = point(seed)  # where this process looks for decode servers: it meets them again
         self.releases, self.lateness, self.late = Releases(), Lateness(), 0
-        self.transfers, self.endpoint_list, self.repeated_ids = Transfers(), EndpointList(), RepeatedIds()
+        self.transfers, self.repeated_ids = Transfers(), RepeatedIds()
+        self.endpoint_list = EndpointList(get("drain_within", 0))
         self.departed = {}  # engines that left the list, until the last forward there has ended
         self.answered_lately = {}  # engines that answered, in the order of their last answers
         self.pace = {"read": Pace(), "write": Pace(), "port": Pace(), "out": Pace()}  # by way too: see send
@@ -206,6 +208,10 @@
         """Discovery has nothing newer than what was listed."""
         self.endpoint_list.confirm()
 
+    def discovery(self, event, at):
+        """`event`: a DiscoveryEvent, which happened at the time `at`."""
+        self.endpoint_list.take(event, at)
+
     def engine(self, id):
         """What is known of the engine; nothing yet where it is new."""
         engine = self.engines.get(id)
@@ -772,6 +778,8 @@
                 r.lingers = True
             if r.used >= self.cap or not self.settings.get("may_cancel"):
                 continue
+            if not self.endpoint_list.may_be_used(self.now):
+                continue  # nothing could take the place of an attempt
             for f in r.out.values():
                 again = f.reads or self.repeatable(r)  # else it may have run: waited for to the deadline
                 if not again or f.cancelled or self.now - f.sent < self.silence(f):
--- a/martenrouter/wire/platform/members.py
+++ b/martenrouter/wire/platform/members.py
@@ -102,6 +102,11 @@
         """Whether an object has begun, on a whole line, and not ended."""
         return self._depth > 0
 
+    @property
+    def begun(self):
+        """Whether a part of a message has come and its end has not."""
+        return self.inside or any(piece.strip() for piece in self._rest)
+
     def feed(self, data):
         """Raises BadLine when an object has no end within LINE_LIMIT."""
         self._rest.append(data)
--- a/tests/sockets/test_silent_agent.py
+++ b/tests/sockets/test_silent_agent.py
@@ -8,7 +8,7 @@
 import gevent
 
 from martenrouter.lab.processes import Ports
-from martenrouter.policy.endpoint_list import READY_WITHIN, TRUSTED_AFTER
+from martenrouter.policy.endpoint_list import READY_WITHIN, DiscoveryEvent
 from martenrouter.policy.reasons import GiveUp
 from tests.helpers import Rig as PolicyRig
 from tests.helpers import row
@@ -157,7 +157,7 @@
     def rig(self):
         rig = PolicyRig(rows=[])
         rig.play(("listed", (1, "configuration", self.ROWS)))
-        rig.front.endpoint_list.taken_from_configuration(rig.now)
+        rig.front.endpoint_list.take(DiscoveryEvent.STARTED, rig.now)
         return rig
 
     def test_a_heartbeat_confirms_the_list(self):
@@ -176,7 +176,13 @@
         self.assertEqual([kind for kind, *_ in told if kind in ("forward", "push_back")], ["push_back"])
         self.assertIs(rig.front.given_up_for, GiveUp.LIST_UNCONFIRMED)
 
-    def test_an_old_list_is_better_than_none_for_long(self):
+    # Review 8: after 30 s the configuration's list was acted on though nobody had confirmed it.
+    def test_no_time_makes_a_list_current(self):
         rig = self.rig()
-        rig.now += TRUSTED_AFTER
-        self.assertEqual([sent[1] for sent in rig.ask(1).all("forward")], ["r1"])
+        for n, seconds in enumerate((1, 29, 31, 90, 3600, 100_000)):
+            rig.now += seconds * 1_000_000
+            self.assertEqual(rig.ask(n).all("forward"), [], seconds)
+            rig.play(after=1_100_000)
+        held = rig.ask(99).all("forward")
+        served = rig.play(("list_current", ())).all("forward")
+        self.assertEqual((held, [sent[:2] for sent in served]), ([], [(99, "r1")]))
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -73,6 +73,15 @@
                 self.assertEqual(guard.refuses(self.attempt(request, **attempt), NOW), why)
         self.assertEqual([name for name in self.counters if name.startswith("violation")], [])
 
+    # Review 8, related: an attempt was still connecting when its list could not be acted on any more.
+    def test_nothing_begins_by_a_list_that_came_to_be_in_doubt(self):
+        guard = self.guard()
+        guard.list_usable = lambda now: now < NOW
+        attempt = self.attempt(self.request())
+        self.assertIsNone(guard.refuses(attempt, NOW - 1))
+        self.assertEqual(guard.refuses(attempt, NOW), Reason.LIST_UNCONFIRMED)
+        self.assertEqual(dict(self.counters), {"guard_discovery_not_heard": 1})
+
     def second(self, guard, ended, engine="b"):
         request = self.request()
         first = self.attempt(request)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from unittest import mock
 
+from martenrouter.policy.endpoint_list import DiscoveryEvent
 from martenrouter.policy.hashing import key_of
 from martenrouter.rules import Front, draw
 from tests.cold_fleet import sent_to_a_cold_one
@@ -541,6 +542,18 @@
                 cancelled = rig.play(after=800_000).all("cancel")
                 self.assertEqual([c for c in cancelled if c[0] == 1], then)
 
+    # Review 8, related: nothing may be sent by a list in doubt, so nothing is gained by a cancel.
+    def test_a_silent_forward_is_left_while_nothing_could_take_its_place(self):
+        rig = Rig(self.ROWS)
+        home = self.home(rig)
+        for i in range(2, 12):
+            seen = rig.ask(i, session="t%d" % i, after=10_000).all("forward")
+            if seen and seen[0][1] != home:
+                rig.end(i, 0, "read", seen[0][1])
+        rig.play(("discovery", (DiscoveryEvent.NEWS_BEGAN, rig.now)))
+        self.assertEqual(rig.play(after=800_000).all("cancel"), [])
+        self.assertEqual(rig.play(("list_current", ())).all("cancel")[0], (1, 0))
+
     # Report 87b5f4, related: of thousands of servers few are known, and a third attempt went to the first's.
     def test_a_request_does_not_go_twice_to_a_server_that_failed_it_while_others_are_left(self):
         for reads in (True, False):
