Half an event ends a stream no sooner than none does

Cause: half_stands_still took 3 s without a byte of half an event for a spoilt stream, whatever time was left. It ends a stream now only once 4.5 s have passed since the last event as well.

--- a/martenrouter/policy/transfers.py
+++ b/martenrouter/policy/transfers.py
@@ -24,9 +24,9 @@
     # microseconds for which a client may take nothing of its answer; where another wants its place
     takes_nothing_within, takes_nothing_displaced = 5_000_000, 500_000
 
-    # microseconds of a stream that has begun. The platform wants the client of a spoilt one let off within
-    # 5 s, and that of one whose server is silent: half an event that stands still for so long is spoilt
-    half_stands_still, silent_between_events = 3_000_000, 4_500_000
+    # microseconds of a stream that has begun. Its client may wait for 5 s after the last event, half an event
+    # or none behind it, and for 5 s after one that was spoilt
+    silent_between_events, half_stands_still = 4_500_000, 3_000_000
     event_within = 60_000_000  # microseconds for one event that moves
     # microseconds from the first byte of a read's answer to its last: its state is held meanwhile
     read_answer_within = 100_000
@@ -34,9 +34,13 @@
     def is_stalled(self, stream, now):
         """Whether nothing more is to be expected of the stream: `heard` tells when its last whole event came,
         `moved` when its last bytes did, `half` whether some came that are no whole event yet."""
+        since_heard = now - stream.heard
         if stream.half or stream.moved > stream.heard:
-            return now - stream.moved > self.half_stands_still or now - stream.heard > self.event_within
-        return now - stream.heard > self.silent_between_events
+            stands_still = now - stream.moved > self.half_stands_still
+            return (
+                stands_still and since_heard > self.silent_between_events or since_heard > self.event_within
+            )
+        return since_heard > self.silent_between_events
 
     @staticmethod
     def sees_end(unread, buffer):
--- a/tests/sockets/test_slow_answers.py
+++ b/tests/sockets/test_slow_answers.py
@@ -166,3 +166,22 @@
                     answered, held = self.held(rest_after, effect)
                     self.assertLess(held, self.HELD_WITHIN)
                     self.assertEqual(answered, status)
+
+
+class HangInMidEvent(unittest.TestCase):
+    HANG = 3.6  # seconds, within the 5 s that a client may wait after the last event
+
+    # Review 7: the stream was cut 3 s into the hang.
+    def test_a_stream_goes_on_after_a_hang_in_mid_event(self):
+        def hang(engine, sock, call, nth):
+            half = len(EVENTS[1]) // 2
+            sock.sendall(HEAD + http.chunk(EVENTS[0]) + http.chunk(EVENTS[1][:half]))
+            gevent.sleep(self.HANG)
+            rest = [EVENTS[1][half:], *EVENTS[2:]]
+            sock.sendall(b"".join(map(http.chunk, rest)) + http.chunk(b""))
+
+        rig = Rig(Engine("r", "prefill"), Engine("w", "decode", script=hang))
+        self.addCleanup(rig.close)
+        client = rig.client()
+        status, _, body = client.ask().answer()
+        self.assertEqual((status, client.last, body), (200, True, b"".join(EVENTS)))
