Places for connections go round among those who wait in the accept queue

Cause: a connection went on after each answer (ClientConnection._keeps), so who came again at once kept its place for good: never idle, and never with a request old enough to be refused. While some wait to be accepted and no place can be made, each answer now ends its connection.

Ruled out: the 0.1 s of refused_for_newcomer; the bodies are whole after half of that, and a shorter bound would refuse usual ones.

--- a/martenrouter/node/client_connection.py
+++ b/martenrouter/node/client_connection.py
@@ -322,8 +322,10 @@
         self._answered(keep=False)
 
     def _keeps(self):
-        """Whether the connection goes on: in a stop it ends, as what is read late may be cut by the kill."""
-        return self.keep and not self.over_bound and not self.server.leaving
+        """Whether the connection goes on: in a stop it ends, as what is read late may be cut by the kill; and
+        where others wait to be accepted, its client waits behind them for its next request."""
+        goes_on = self.keep and not self.over_bound and not self.server.leaving
+        return goes_on and not self.server.gives_places_round()
 
     def _answered(self, keep):
         if self.state is State.CLOSED:
--- a/martenrouter/node/door.py
+++ b/martenrouter/node/door.py
@@ -117,6 +117,10 @@
             return False
         return not self._make_room(clock.now()) and not self._displace_reader(self.conns.values())
 
+    def gives_places_round(self):
+        """Whether connections wait for places that only answered requests can free."""
+        return self.listens and self.server.is_held
+
     def keep_within_memory(self):
         """Ends what the policy names while more is held than may be; each alone is within its limit."""
         while self.memory.is_over:
--- a/martenrouter/node/listener.py
+++ b/martenrouter/node/listener.py
@@ -129,7 +129,12 @@
     def do_close(self, sock, *_):
         sock.close()
 
+    @property
+    def is_held(self):
+        """Whether some wait that can't be taken just now."""
+        return self.started and self._watcher is None
+
     def resume(self):
         """Some were closed: takes connections again if it had stopped."""
-        if self.started and self._watcher is None and not self.full():
+        if self.is_held and not self.full():
             self.start_accepting()
--- a/tests/sockets/bad_clients.py
+++ b/tests/sockets/bad_clients.py
@@ -15,6 +15,7 @@
 ID = "X-Request-ID: %016x\r\nX-Priority-Class: chat\r\nX-Timeout-Ms: 2000\r\n"
 NUMBERS = itertools.count(0xBAD00000)
 HALF_BODY = 250_000  # bytes of 256 KiB
+LARGE_BODY = 100_000  # bytes
 DRIP, DRIPS_EACH = 4096, 0.05  # bytes, and seconds from one piece to the next, sent or read
 
 
@@ -114,6 +115,13 @@
         yield sound_head("Content-Length: %d\r\n\r\n" % len(body)) + body
 
 
+def large_unsound_bodies():
+    """Large requests whose bodies are no JSON, one after the other for as long as the connection lasts."""
+    body = b'{"messages":%s' % (b"x" * LARGE_BODY)
+    while True:
+        yield sound_head("Content-Length: %d\r\n\r\n" % len(body)) + body
+
+
 def paced(request):
     """`request()` again and again, with a pause after each."""
     while True:
@@ -180,6 +188,7 @@
         body_drips,
         chunk_drips,
         whole_bodies,
+        large_unsound_bodies,
         leavers,
         short_deadlines,
         long_names,
--- a/tests/sockets/crowded_node.py
+++ b/tests/sockets/crowded_node.py
@@ -50,6 +50,7 @@
     "body_drips": 600,
     "chunk_drips": 600,
     "whole_bodies": 600,
+    "large_unsound_bodies": 600,
     "leavers": 600,
     "short_deadlines": 600,
     "long_names": 600,
--- a/tests/sockets/test_bad_clients.py
+++ b/tests/sockets/test_bad_clients.py
@@ -46,6 +46,10 @@
         self.check(half_bodies=600, half_heads=600, slow_writers=600)
         self.check(long_answers=600)
 
+    # Review 6: who sent the same again as soon as it was turned away kept its place for good.
+    def test_places_go_round_among_those_who_wait(self):
+        self.check(sockets=256, large_unsound_bodies=600)
+
     # Report 82eceb, related: answers that had been given and were left unread held all places for 5 s.
     def test_unread_answers_hold_no_places_that_others_want(self):
         self.check(sockets=256, long_answers=600)
