Reloads in a module of their own; a new discovery that is no address is refused

On the way: a `discovery` that is no host:port raised in the signal's greenlet after the reload had been counted. It is refused like any other bad file.

Measured: test_reload_moves_to_another_agent_and_a_bad_file_changes_nothing, with such a file, raised Unreadable before; it and 67 tests of crossings, reloads and the watch pass.

--- a/martenrouter/node/life.py
+++ b/martenrouter/node/life.py
@@ -19,6 +19,7 @@
 from martenrouter.node.hands import LOOKS, Hands
 from martenrouter.node.leaving import TimeLine
 from martenrouter.node.process_memory import ProcessMemory
+from martenrouter.node.reloads import Reloads
 from martenrouter.node.server_starts import ServerStarts
 from martenrouter.node.signals import ignore_from_now_on
 from martenrouter.node.watch import Watch
@@ -39,8 +40,6 @@
 )
 READ_AGAIN = 20  # looks at the configuration at the start, 0.1 s apart, while the system fails
 FAILS_FOR_A_MOMENT = {errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN}
-UNREADABLE = 5  # looks at a new configuration that can't be read, 0.1 s apart, before that is said
-SLOWLY_WRITTEN = 10  # seconds for which it is looked at after that
 IDLE_MARGIN = 1_000_000  # microseconds before the engine's limit: its close may already be on the way
 
 
@@ -111,7 +110,10 @@
             self._heard_of_list,
             self._noticed_of_list,
         )
-        self.done, self.reloads = Event(), 0  # reloads: how many signals for one have come
+        self.reloads = Reloads(
+            lambda: self._read()[0], self.watch.move, self._noticed_of_list, self.counters, log
+        )
+        self.done = Event()
 
     def _first_read(self):
         """As `_read`; the disk or the table of open files may fail for a moment, or the file may just be
@@ -177,10 +179,10 @@
             self.list_in_doubt = False
             self.desk.post("list_current")
 
-    def _noticed_of_list(self, event, at=None):
+    def _noticed_of_list(self, event):
         """Something that bears on whether the list is what the agent has; in order with what is listed."""
         self.list_in_doubt = True
-        self.desk.post("discovery", event, clock.now() if at is None else at)
+        self.desk.post("discovery", event, clock.now())
 
     def ready(self):
         """Whether clients may be sent here."""
@@ -294,43 +296,8 @@
         }
 
     def reload(self):
-        """SIGHUP: discovery moves to where the file says; all else of it needs a start. A bad file changes
-        nothing. As it may be half written just now, it is looked at again: for half a second before that is
-        said, and for some seconds more, or to the next signal, after that."""
-        self.reloads += 1
-        self._noticed_of_list(DiscoveryEvent.RELOAD_ASKED)
-        for _ in range(UNREADABLE):
-            if self._reloaded() is None:
-                return
-            gevent.sleep(0.1)
-        why = self._reloaded()
-        if why is not None:
-            self.log.error(
-                "configuration_refused",
-                why=why,
-                mend="the old one stays; mend the file within %d s, or signal again" % SLOWLY_WRITTEN,
-            )
-            gevent.spawn(self._reload_later, self.reloads)
-
-    def _reload_later(self, reload):
-        until = clock.now() + SLOWLY_WRITTEN * 1_000_000
-        while clock.now() < until:
-            gevent.sleep(0.25)
-            if reload != self.reloads or self._reloaded() is None:
-                return
-
-    def _reloaded(self):
-        """Why the file can't be used; None if it is."""
-        try:
-            settings, _ = self._read()
-            told.from_nested(settings.settings)
-        except (codec.Unreadable, told.Unreadable, OSError) as why:
-            return str(why)
-        self.counters["reloaded"] += 1
-        self.log.info("reloaded", discovery=settings.discovery)
-        moved = self.watch.move(codec.address(settings.discovery, "$.discovery"))
-        self._noticed_of_list(DiscoveryEvent.AGENT_MOVED if moved else DiscoveryEvent.RELOAD_ENDED)
-        return None
+        """SIGHUP: see reloads.py."""
+        self.reloads.signalled()
 
     def stop(self):
         """SIGTERM: not ready any more; what still comes is served, what was taken is finished, then the
--- a/tests/sockets/test_crossings.py
+++ b/tests/sockets/test_crossings.py
@@ -18,7 +18,7 @@
 
 from martenrouter.edge import clock
 from martenrouter.node import door as door_module
-from martenrouter.node import life as life_module
+from martenrouter.node import reloads as reloads_module
 from martenrouter.node.client_connection import State
 from martenrouter.policy.transfers import Transfers
 from martenrouter.wire import http
@@ -495,7 +495,7 @@
         rig.until(lambda: process.poll() is not None, within=20)
         self.assertEqual((process.returncode, process.stderr.read()), (0, b""))
 
-    @mock.patch.object(life_module, "UNREADABLE", 100)
+    @mock.patch.object(reloads_module, "UNREADABLE", 100)
     def test_a_configuration_that_is_half_written_at_the_signal(self):
         rig, other = self.pair(), Agent()
         self.addCleanup(other.server.stop)
--- a/tests/sockets/test_node.py
+++ b/tests/sockets/test_node.py
@@ -651,6 +651,8 @@
         for bad in ("", "{", '{"name":1}', "[]"):
             rig.write(None, data=bad)
             rig.node.reload()
+        rig.write("no address")
+        rig.node.reload()
         self.assertEqual((rig.node.counters["reloaded"], other.asked), (0, []))
         rig.write(other.address)
         rig.node.reload()
