--- a/martenrouter/node/owed_releases.py
+++ b/martenrouter/node/owed_releases.py
@@ -10,6 +10,7 @@
 
 import gevent
 from gevent.lock import BoundedSemaphore
+from gevent.pool import Group
 
 from martenrouter.edge import clock
 from martenrouter.rules import is_asked_often, next_release
@@ -54,6 +55,7 @@
         self._debts = {}  # server -> {request's id: Owed, oldest first}
         self._rare = {}  # (request's id, server) -> Owed, of those asked for rarely, oldest first
         self._rarely = None  # the greenlet that asks for them
+        self._greenlets = Group()
 
     @property
     def count(self):
@@ -70,11 +72,15 @@
         debt = self._debts.get(server)
         if debt is None:
             debt = self._debts[server] = {}
-            gevent.spawn(self._settle, server, debt)
+            self._greenlets.spawn(self._settle, server, debt)
         debt[id] = Owed(clock.now(), self.start_of(server), READ_ROUNDS if is_read else DECODE_ROUNDS)
         if len(debt) > MOST_OWED:
             self._forget(next(iter(debt)), server, debt.pop(next(iter(debt))))
 
+    def stop(self):
+        """Nothing is asked for any more, as where the process has ended."""
+        self._greenlets.kill(block=False)
+
     def given_up(self):
         """The process ends: names what is still owed."""
         for server, debt in self._debts.items():
@@ -169,7 +175,7 @@
             oldest = next(iter(self._rare))
             self._forget(*oldest, self._rare.pop(oldest))
         if self._rarely is None:
-            self._rarely = gevent.spawn(self._settle_rare)
+            self._rarely = self._greenlets.spawn(self._settle_rare)
 
     def _settle_rare(self):
         try:
--- a/tests/sockets/node_rig.py
+++ b/tests/sockets/node_rig.py
@@ -283,6 +283,7 @@
         node = self.node
         for greenlet in node.greenlets():
             greenlet.kill(block=False)
+        node.engines.owed.stop()  # else it would go on calling servers, and later ones at their ports
         node.door.server.stop()
         node.door.turns.stop()  # else each rig of a process would cost every later turn of the loop
         for conn in list(node.door.conns.values()):
